--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+LINT = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+.PHONY: build test race lint format generate check-generated demo demo-board bench clean
+
+build:
+	go build -o bin/anviltack .
+	go build -o bin/standin ./standin/cmd
+
+test:
+	go vet ./...
+	go test -race -count=1 ./...
+
+lint:
+	$(LINT) run ./...
+
+format:
+	$(LINT) fmt ./...
+
+generate:
+	scripts/generate
+
+check-generated:
+	scripts/generate --check
+
+demo: build
+	bin/standin demo --site index
+
+demo-board: build
+	bin/standin demo --site board
+
+bench:
+	scripts/bench
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,86 @@
+// Package cli holds the commands of anviltack, one file each.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+)
+
+// The exit statuses of the commands; docs/CODES.md lists them.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// streams are where a command writes.
+type streams struct {
+	out io.Writer
+	err io.Writer
+}
+
+type commands struct {
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+// exit carries the status of a command line that kong answered by itself, such
+// as a request for help.
+type exit int
+
+// Run executes one command line and returns its exit status.
+func Run(args []string, out, errOut io.Writer) (status int) {
+	var c commands
+	parser, err := kong.New(&c,
+		kong.Name("anviltack"),
+		kong.Description("A PostgreSQL proxy with session consistency."),
+		kong.Writers(out, errOut),
+		kong.Exit(func(n int) { panic(exit(n)) }),
+	)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailure
+	}
+	defer func() {
+		r := recover()
+		if n, ok := r.(exit); ok {
+			status = int(n)
+			return
+		}
+		if r != nil {
+			panic(r)
+		}
+	}()
+	k, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	return report(errOut, k.Run(&streams{out: out, err: errOut}))
+}
+
+func report(errOut io.Writer, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(errOut, err)
+	var s *statusError
+	if errors.As(err, &s) {
+		return s.status
+	}
+	return exitFailure
+}
+
+// statusError ends a command with an exit status of its own.
+type statusError struct {
+	status int
+	err    error
+}
+
+// Error returns the text of the wrapped error.
+func (e *statusError) Error() string { return e.err.Error() }
+
+// Unwrap returns the wrapped error.
+func (e *statusError) Unwrap() error { return e.err }
--- /dev/null
+++ b/core/code.go
@@ -0,0 +1,138 @@
+package core
+
+import (
+	"fmt"
+	"time"
+)
+
+// Code is a numbered result code; docs/CODES.md lists them all.
+//
+// 1xxx answers a statement that ran, 2xxx one that did not run, 3xxx one whose
+// outcome is unknown, 4xxx bad input of a caller, 5xxx an operator's request and
+// 6xxx is the exit status of a command.
+type Code int
+
+// The result codes of callers' statements.
+const (
+	CodeAlreadyRan        Code = 1001
+	CodeOverloaded        Code = 2001
+	CodeNoPrimary         Code = 2002
+	CodeNoFreshReplica    Code = 2003
+	CodeDraining          Code = 2004
+	CodeNoConnection      Code = 2005
+	CodeNotReplicating    Code = 2006
+	CodeNoGroup           Code = 2007
+	CodeTransactionLost   Code = 2008
+	CodeTransactionIdle   Code = 2009
+	CodeReadFailed        Code = 2010
+	CodeFairShare         Code = 2011
+	CodeOutcomeUnknown    Code = 3001
+	CodeBadMessage        Code = 4001
+	CodeTooLarge          Code = 4002
+	CodeUnsupported       Code = 4003
+	CodeBadParameter      Code = 4004
+	CodeUnknownKind       Code = 4005
+	CodeBadMark           Code = 4006
+	CodeAuthentication    Code = 4007
+	CodeNotAllowed        Code = 4008
+	CodeUnknownDatabase   Code = 4009
+	CodeKeyReused         Code = 4010
+	CodeTooManyCallers    Code = 4011
+	CodeCancelled         Code = 4012
+	CodeUnknownPrepared   Code = 4013
+	CodePatchConflict     Code = 5001
+	CodePatchInvalid      Code = 5002
+	CodePatchUnknown      Code = 5003
+	CodePlatformDown      Code = 5004
+	CodeOperatorForbidden Code = 5005
+	CodePatchTooLarge     Code = 5006
+)
+
+// SQLSTATE values by which callers' drivers recognize an answer.
+const (
+	stateUnavailable    = "57P03"
+	stateTooMany        = "53300"
+	stateUnknownOutcome = "08007"
+	stateProtocol       = "08P01"
+	stateTooLarge       = "54000"
+	stateUnsupported    = "0A000"
+	stateBadParameter   = "22023"
+	statePassword       = "28P01"
+	stateNotAllowed     = "42501"
+	stateNoDatabase     = "3D000"
+	stateDuplicate      = "23505"
+	stateShutdown       = "57P01"
+	stateCancelled      = "57014"
+	stateIdle           = "25P03"
+	stateNoStatement    = "26000"
+	stateSerialization  = "40001"
+)
+
+var sqlStates = map[Code]string{
+	CodeAlreadyRan:      stateDuplicate,
+	CodeOverloaded:      stateTooMany,
+	CodeNoPrimary:       stateUnavailable,
+	CodeNoFreshReplica:  stateUnavailable,
+	CodeDraining:        stateShutdown,
+	CodeNoConnection:    stateTooMany,
+	CodeNotReplicating:  stateUnavailable,
+	CodeNoGroup:         stateUnavailable,
+	CodeTransactionLost: stateSerialization,
+	CodeTransactionIdle: stateIdle,
+	CodeReadFailed:      stateUnavailable,
+	CodeFairShare:       stateTooMany,
+	CodeOutcomeUnknown:  stateUnknownOutcome,
+	CodeBadMessage:      stateProtocol,
+	CodeTooLarge:        stateTooLarge,
+	CodeUnsupported:     stateUnsupported,
+	CodeBadParameter:    stateBadParameter,
+	CodeUnknownKind:     stateBadParameter,
+	CodeBadMark:         stateBadParameter,
+	CodeAuthentication:  statePassword,
+	CodeNotAllowed:      stateNotAllowed,
+	CodeUnknownDatabase: stateNoDatabase,
+	CodeKeyReused:       stateBadParameter,
+	CodeTooManyCallers:  stateTooMany,
+	CodeCancelled:       stateCancelled,
+	CodeUnknownPrepared: stateNoStatement,
+}
+
+// SQLState returns the SQLSTATE that callers see, "XX000" for codes that never
+// reach a caller.
+func (c Code) SQLState() string {
+	if s, ok := sqlStates[c]; ok {
+		return s
+	}
+	return "XX000"
+}
+
+// IsNotRun reports whether the code promises that nothing of the statement ran.
+func (c Code) IsNotRun() bool {
+	return c >= 2000 && c < 3000 || c >= 4000 && c < 5000
+}
+
+// Error is a final answer other than success.
+type Error struct {
+	Code Code
+	// Reason tells a person what happened; it holds no statement text or secret.
+	Reason string
+	// RetryAfter tells the caller when to come back; zero means no advice.
+	RetryAfter time.Duration
+}
+
+// NewError returns an error with a formatted reason and no retry advice.
+func NewError(c Code, format string, args ...any) *Error {
+	return &Error{Code: c, Reason: fmt.Sprintf(format, args...)}
+}
+
+// WithRetry returns a copy of the error that advises to come back after d.
+func (e *Error) WithRetry(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// Error returns the code and the reason.
+func (e *Error) Error() string {
+	return fmt.Sprintf("AT%d: %s", e.Code, e.Reason)
+}
--- /dev/null
+++ b/core/name.go
@@ -0,0 +1,22 @@
+package core
+
+// Group is the name of a database group.
+type Group string
+
+// Endpoint is the name of one member of a database group.
+type Endpoint string
+
+// Instance is the name of one anviltack process.
+type Instance string
+
+// DataCentre is the name of a data centre.
+type DataCentre string
+
+// Caller is the user name under which a caller logs in.
+type Caller string
+
+// Database is the name of a database as callers state it at connect.
+type Database string
+
+// Kind is the name of a kind of read, such as "snapshot".
+type Kind string
