Serve callers on a thin path: primary for everything

Cause: the whole path comes first, so that each later decision is tried on the running system.

Change: checked settings, the callers' and endpoints' protocol packages, and an instance with a control goroutine, one sampler for each endpoint and traffic goroutines. Every statement goes to the primary and is answered once a majority holds its position in the same term and confirms, after the statement's arrival, that the primary was not replaced.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -14,6 +14,8 @@
 	exitOK      = 0
 	exitFailure = 1
 	exitUsage   = 2
+	// exitSettings tells that the settings file has faults.
+	exitSettings = 3
 )
 
 // streams are where a command writes.
@@ -23,6 +25,8 @@
 }
 
 type commands struct {
+	Serve   serveCmd   `cmd:"" help:"Run an entry instance."`
+	Check   checkCmd   `cmd:"" help:"Check a settings file and name every fault."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/core/event.go
@@ -0,0 +1,18 @@
+package core
+
+// Event is a numbered log event; docs/EVENTS.md lists them all.
+type Event int
+
+// The log events.
+const (
+	EventStarted      Event = 100
+	EventStopped      Event = 101
+	EventService      Event = 102
+	EventListening    Event = 103
+	EventConfig       Event = 200
+	EventConfigSource Event = 201
+	EventPrimary      Event = 300
+	EventSampleFailed Event = 301
+	EventSession      Event = 400
+	EventSessionError Event = 401
+)
--- /dev/null
+++ b/instance/control.go
@@ -0,0 +1,87 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"anviltack/core"
+	"anviltack/core/patch"
+)
+
+// controlQueue is how many events may wait for the control goroutine.
+const controlQueue = 4096
+
+// control owns the state machines; only its own goroutine touches its fields.
+type control struct {
+	instance *Instance
+	samplers *suture.Supervisor
+	events   chan func(now time.Time)
+	version  uint64
+	groups   map[core.Group]*groupControl
+}
+
+func newControl(in *Instance, samplers *suture.Supervisor) *control {
+	return &control{
+		instance: in,
+		samplers: samplers,
+		events:   make(chan func(time.Time), controlQueue),
+		groups:   make(map[core.Group]*groupControl),
+	}
+}
+
+// Serve handles events until the context ends.
+func (c *control) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case handle := <-c.events:
+			handle(time.Now())
+		}
+	}
+}
+
+// post hands an event to the control goroutine and waits while its queue is full.
+func (c *control) post(ctx context.Context, handle func(now time.Time)) {
+	select {
+	case c.events <- handle:
+	case <-ctx.Done():
+	}
+}
+
+// offer hands an event to the control goroutine unless its queue is full; it is
+// for events that a later one makes up for.
+func (c *control) offer(handle func(now time.Time)) {
+	select {
+	case c.events <- handle:
+	default:
+	}
+}
+
+// adopt puts a configuration into force unless a newer one is.
+func (c *control) adopt(version uint64, config *patch.Config) {
+	if version <= c.version {
+		return
+	}
+	c.version = version
+	view := &View{Version: version, Config: config, Groups: make(map[core.Group]*Group, len(config.Groups))}
+	for name, group := range config.Groups {
+		g, ok := c.groups[name]
+		if !ok {
+			g = newGroupControl(c, name)
+			c.groups[name] = g
+		}
+		g.configure(group)
+		view.Groups[name] = g.group
+	}
+	for name, g := range c.groups {
+		if _, ok := config.Groups[name]; !ok {
+			g.configure(patch.Group{})
+			delete(c.groups, name)
+		}
+	}
+	c.instance.view.Store(view)
+	c.instance.event(core.EventConfig).WithField("version", version).Info("configuration in force")
+}
--- /dev/null
+++ b/instance/group.go
@@ -0,0 +1,121 @@
+package instance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"anviltack/core"
+	"anviltack/core/patch"
+)
+
+// groupControl is the control state of one group; only the control goroutine
+// touches it.
+type groupControl struct {
+	control *control
+	group   *Group
+	members map[core.Endpoint]*memberControl
+	// term is the highest term in which a primary was seen; it never falls.
+	term    uint64
+	primary core.Endpoint
+}
+
+// memberControl is the control state of one endpoint.
+type memberControl struct {
+	member  Member
+	config  patch.Endpoint
+	wake    chan struct{}
+	sampler suture.ServiceToken
+}
+
+func newGroupControl(c *control, name core.Group) *groupControl {
+	g := &groupControl{
+		control: c,
+		group:   &Group{Name: name},
+		members: make(map[core.Endpoint]*memberControl),
+	}
+	g.publish()
+	return g
+}
+
+// configure starts a sampler for every new member and stops those of members
+// that are gone.
+func (g *groupControl) configure(config patch.Group) {
+	for name, m := range g.members {
+		if e, ok := config.Endpoints[name]; !ok || e.Address != m.config.Address {
+			g.remove(name, m)
+		}
+	}
+	for name, e := range config.Endpoints {
+		m, ok := g.members[name]
+		if !ok {
+			m = g.add(name, e)
+		}
+		m.config = e
+		m.member.Leaving = e.Leaving
+		m.member.DataCentre = e.DataCentre
+	}
+	wake := make([]chan struct{}, 0, len(g.members))
+	for _, m := range g.members {
+		wake = append(wake, m.wake)
+	}
+	g.group.wake.Store(&wake)
+	g.publish()
+}
+
+func (g *groupControl) add(name core.Endpoint, e patch.Endpoint) *memberControl {
+	m := &memberControl{
+		config: e,
+		wake:   make(chan struct{}, 1),
+		member: Member{Name: name, DataCentre: e.DataCentre, links: newLinks(g.control.instance, name, e)},
+	}
+	m.sampler = g.control.samplers.Add(newSampler(g, name, e.Address, m.wake))
+	g.members[name] = m
+	return m
+}
+
+func (g *groupControl) remove(name core.Endpoint, m *memberControl) {
+	_ = g.control.samplers.Remove(m.sampler)
+	m.member.links.close()
+	delete(g.members, name)
+}
+
+// sampled takes in a status that was asked for at sentAt.
+func (g *groupControl) sampled(name core.Endpoint, sentAt time.Time, s core.Status) {
+	m, ok := g.members[name]
+	if !ok || sentAt.Before(m.member.SampledAt) {
+		return
+	}
+	m.member.Status = s
+	m.member.SampledAt = sentAt
+	if s.Role == core.RolePrimary && s.Fence == s.Term && s.Term > g.term {
+		g.term = s.Term
+		g.primary = name
+		g.control.instance.event(core.EventPrimary).WithField("group", g.group.Name).
+			WithField("endpoint", name).WithField("term", s.Term).Info("primary")
+	}
+	g.publish()
+}
+
+func (g *groupControl) publish() {
+	s := &GroupState{Term: g.term, Primary: g.primary, Members: make(map[core.Endpoint]*Member, len(g.members))}
+	var positions []uint64
+	var times []time.Time
+	for name, m := range g.members {
+		member := m.member
+		s.Members[name] = &member
+		if m.member.Status.Term == g.term && m.member.Status.Fence == g.term && g.term > 0 {
+			positions = append(positions, m.member.Status.Received)
+			times = append(times, m.member.SampledAt)
+		}
+	}
+	majority := len(g.members)/2 + 1
+	if len(positions) >= majority {
+		slices.Sort(positions)
+		slices.SortFunc(times, time.Time.Compare)
+		s.Confirmed = core.Point{Term: g.term, Position: positions[len(positions)-majority]}
+		s.AsOf = times[len(times)-majority]
+	}
+	g.group.publish(s)
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,100 @@
+// Package instance runs one entry instance: a supervisor tree with one goroutine
+// for control state and others for traffic.
+package instance
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+
+	"anviltack/core"
+	"anviltack/core/patch"
+	"anviltack/settings"
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	settings settings.Settings
+	log      *logrus.Logger
+	metrics  metrics.Registry
+	counts   counts
+	view     atomic.Pointer[View]
+	control  *control
+	sessions *sessions
+	watch    Watch
+}
+
+// Watch returns the configuration that follows a version, once there is one.
+type Watch func(ctx context.Context, after uint64) (uint64, *patch.Config, error)
+
+// Option changes an instance at construction.
+type Option func(*Instance)
+
+// WithLog makes the instance log to l.
+func WithLog(l *logrus.Logger) Option {
+	return func(in *Instance) { in.log = l }
+}
+
+// WithWatch makes the instance take its configuration from w.
+func WithWatch(w Watch) Option {
+	return func(in *Instance) { in.watch = w }
+}
+
+// New returns an instance that does not run yet.
+func New(s settings.Settings, options ...Option) *Instance {
+	in := &Instance{
+		settings: s,
+		log:      logrus.New(),
+		metrics:  metrics.NewRegistry(),
+		sessions: newSessions(),
+	}
+	in.counts = newCounts(in.metrics)
+	for _, o := range options {
+		o(in)
+	}
+	in.view.Store(&View{Config: &patch.Config{}, Groups: map[core.Group]*Group{}})
+	return in
+}
+
+// View returns the newest view of the control state.
+func (in *Instance) View() *View { return in.view.Load() }
+
+// Serve runs the instance until the context ends.
+func (in *Instance) Serve(ctx context.Context) error {
+	root := in.supervisor("instance")
+	samplers := in.supervisor("samplers")
+	root.Add(samplers)
+	in.control = newControl(in, samplers)
+	root.Add(in.control)
+	root.Add(&listener{instance: in})
+	root.Add(&watcher{instance: in})
+	in.event(core.EventStarted).WithField("callers", in.settings.Callers).Info("started")
+	err := root.Serve(ctx)
+	in.event(core.EventStopped).Info("stopped")
+	if err != nil && ctx.Err() == nil {
+		return fmt.Errorf("instance: could not go on: %w", err)
+	}
+	return nil
+}
+
+// event starts a log line for a numbered event.
+func (in *Instance) event(e core.Event) *logrus.Entry {
+	return in.log.WithFields(logrus.Fields{"event": int(e), "instance": in.settings.Instance})
+}
+
+// restartPause is how long a service that fails too often rests.
+const restartPause = time.Second
+
+func (in *Instance) supervisor(name string) *suture.Supervisor {
+	return suture.New(name, suture.Spec{
+		EventHook: func(e suture.Event) {
+			in.event(core.EventService).WithField("service", name).Warn(e.String())
+		},
+		FailureBackoff: restartPause,
+	})
+}
--- /dev/null
+++ b/instance/metrics.go
@@ -0,0 +1,26 @@
+package instance
+
+import "github.com/rcrowley/go-metrics"
+
+// counts are the counters that traffic goroutines raise.
+type counts struct {
+	sessions       metrics.Counter
+	statements     metrics.Counter
+	refusals       metrics.Counter
+	unknown        metrics.Counter
+	readsOnReplica metrics.Counter
+	readsOnPrimary metrics.Counter
+	samples        metrics.Counter
+}
+
+func newCounts(r metrics.Registry) counts {
+	return counts{
+		sessions:       metrics.NewRegisteredCounter("sessions", r),
+		statements:     metrics.NewRegisteredCounter("statements", r),
+		refusals:       metrics.NewRegisteredCounter("refusals", r),
+		unknown:        metrics.NewRegisteredCounter("unknown", r),
+		readsOnReplica: metrics.NewRegisteredCounter("reads_on_replica", r),
+		readsOnPrimary: metrics.NewRegisteredCounter("reads_on_primary", r),
+		samples:        metrics.NewRegisteredCounter("samples", r),
+	}
+}
--- /dev/null
+++ b/instance/session.go
@@ -0,0 +1,265 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"anviltack/core"
+	"anviltack/core/patch"
+	"anviltack/io/caller"
+	"anviltack/io/endpoint"
+)
+
+// defaultDeadline bounds a statement when neither its caller nor the
+// configuration states a deadline.
+const defaultDeadline = 5 * time.Second
+
+// session is one caller's session; only its own goroutine touches it, but for
+// the fields in sessionEntry.
+type session struct {
+	*sessionEntry
+	instance *Instance
+	conn     *caller.Conn
+	login    caller.Login
+	database patch.Database
+	group    *Group
+	// defaults are what the session's parameters state.
+	defaults annotation
+	// mark is the point that reads of this session must cover.
+	mark core.Point
+	// reported is the mark that the caller was told last.
+	reported core.Point
+	arrived  time.Time
+	prepared map[string]*prepared
+	// held is the connection of an open transaction, or nil.
+	held *hold
+}
+
+// hold is an endpoint connection with an open transaction.
+type hold struct {
+	conn  *endpoint.Conn
+	links *links
+}
+
+// serve answers one caller until the session ends.
+func (in *Instance) serve(ctx context.Context, nc net.Conn) {
+	conn := caller.NewConn(nc, in.settings.Message)
+	defer conn.Close()
+	conn.SetReadDeadline(time.Now().Add(startLimit))
+	s, err := in.start(conn)
+	var cancelled *caller.CancelError
+	if errors.As(err, &cancelled) {
+		in.sessions.cancel(ctx, cancelled.Key)
+		return
+	}
+	if err != nil {
+		in.reject(conn, err)
+		return
+	}
+	conn.SetReadDeadline(time.Time{})
+	defer s.end()
+	if err := s.run(); err != nil {
+		in.event(core.EventSessionError).WithField("caller", s.login.Caller).WithError(err).Debug("session ended")
+		in.reject(conn, err)
+	}
+}
+
+// startLimit bounds the time from accept to the first statement.
+const startLimit = 10 * time.Second
+
+// reject sends a last error when there is one to tell.
+func (in *Instance) reject(conn *caller.Conn, err error) {
+	var e *core.Error
+	if !errors.As(err, &e) {
+		return
+	}
+	in.counts.refusals.Inc(1)
+	conn.SendError(caller.SeverityFatal, e)
+	_ = conn.Flush()
+}
+
+// start takes a connection through start-up and authentication.
+func (in *Instance) start(conn *caller.Conn) (*session, error) {
+	login, err := conn.Start()
+	if err != nil {
+		return nil, err
+	}
+	view := in.View()
+	known := view.Config.Callers[login.Caller]
+	if err := conn.Authenticate(known.Secret); err != nil {
+		return nil, err
+	}
+	database, ok := view.Config.Databases[login.Database]
+	if !ok {
+		return nil, core.NewError(core.CodeUnknownDatabase, "database %q does not exist", login.Database)
+	}
+	if !mayReach(known, login.Database) {
+		return nil, core.NewError(core.CodeNotAllowed, "caller %q may not reach database %q", login.Caller, login.Database)
+	}
+	s := &session{
+		instance: in,
+		conn:     conn,
+		login:    login,
+		database: database,
+		group:    view.Groups[database.Group],
+		arrived:  time.Now(),
+		prepared: make(map[string]*prepared),
+	}
+	for name, value := range login.Options() {
+		if e := s.setOption(name, value); e != nil {
+			return nil, e
+		}
+	}
+	if s.sessionEntry, err = in.sessions.add(in.settings.Sessions); err != nil {
+		return nil, err
+	}
+	in.counts.sessions.Inc(1)
+	if err := conn.Welcome(s.key, welcomeParameters(s.mark)); err != nil {
+		s.end()
+		return nil, err
+	}
+	return s, nil
+}
+
+func mayReach(c patch.Caller, d core.Database) bool {
+	for _, allowed := range c.Databases {
+		if allowed == d {
+			return true
+		}
+	}
+	return false
+}
+
+func welcomeParameters(mark core.Point) []pgproto3.ParameterStatus {
+	return []pgproto3.ParameterStatus{
+		{Name: "server_version", Value: "15.0"},
+		{Name: "server_encoding", Value: "UTF8"},
+		{Name: "client_encoding", Value: "UTF8"},
+		{Name: "standard_conforming_strings", Value: "on"},
+		{Name: "integer_datetimes", Value: "on"},
+		{Name: "DateStyle", Value: "ISO, MDY"},
+		{Name: "TimeZone", Value: "UTC"},
+		{Name: parameterPrefix + nameMark, Value: mark.String()},
+	}
+}
+
+// run serves units until the caller ends the session.
+func (s *session) run() error {
+	for {
+		u, err := s.nextUnit()
+		if err != nil || u == nil {
+			return err
+		}
+		u.deadline = u.arrived.Add(s.limit(u.annotation))
+		if err := s.serveUnit(u); err != nil {
+			return err
+		}
+		s.rest()
+	}
+}
+
+// limit is how long a statement may take.
+func (s *session) limit(a annotation) time.Duration {
+	if a.deadline > 0 {
+		return a.deadline
+	}
+	if d := s.instance.View().Config.Limits.Deadline; d > 0 {
+		return time.Duration(d)
+	}
+	return defaultDeadline
+}
+
+// serveUnit answers one unit; its error ends the session.
+func (s *session) serveUnit(u *unit) error {
+	s.instance.counts.statements.Inc(1)
+	if u.fault != nil && s.held == nil {
+		return s.refuse(u.fault)
+	}
+	if handled, err := s.serveParameter(u); handled {
+		return err
+	}
+	switch {
+	case s.held != nil:
+		return s.serveHeld(u)
+	case u.annotation.kind != "":
+		return s.serveRead(u)
+	default:
+		return s.serveWrite(u)
+	}
+}
+
+// refuse answers a unit that did not run.
+func (s *session) refuse(e *core.Error) error {
+	s.instance.counts.refusals.Inc(1)
+	s.conn.SendError(caller.SeverityError, e)
+	return s.ready('I')
+}
+
+// ready ends the answer to a unit.
+func (s *session) ready(status byte) error {
+	if s.mark != s.reported {
+		s.conn.Send(&pgproto3.ParameterStatus{Name: parameterPrefix + nameMark, Value: s.mark.String()})
+		s.reported = s.mark
+	}
+	s.conn.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	return s.conn.Flush()
+}
+
+// serveParameter answers a SET of one of anviltack's own parameters.
+func (s *session) serveParameter(u *unit) (bool, error) {
+	if !u.simple || u.fault != nil {
+		return false, nil
+	}
+	p, ok := parseParameterStatement(u.sql)
+	if !ok {
+		return false, nil
+	}
+	if e := s.setOption(parameterPrefix+p.name, p.value); e != nil {
+		return true, s.refuse(e)
+	}
+	s.conn.Send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
+	return true, s.ready(s.status())
+}
+
+// setOption takes in a run-time parameter; those of PostgreSQL are passed over.
+func (s *session) setOption(name, value string) *core.Error {
+	own, ok := cutPrefixFold(name, parameterPrefix)
+	if !ok {
+		return nil
+	}
+	switch own {
+	case nameMark:
+		mark, err := core.ParsePoint(value)
+		if err != nil {
+			return core.NewError(core.CodeBadMark, "a mark is the text that anviltack.mark reported")
+		}
+		s.mark = s.mark.Join(mark)
+		s.arrived = time.Time{}
+		return nil
+	case nameKind, nameDeadline:
+		return s.defaults.set(own, value)
+	}
+	return core.NewError(core.CodeBadParameter, "there is no parameter %s%s", parameterPrefix, own)
+}
+
+// status is the transaction status that the caller sees.
+func (s *session) status() byte {
+	if s.held != nil {
+		return 'T'
+	}
+	return 'I'
+}
+
+// end releases what the session holds.
+func (s *session) end() {
+	if s.held != nil {
+		s.held.links.put(s.held.conn, false)
+		s.held = nil
+	}
+	s.instance.sessions.remove(s.sessionEntry)
+	clear(s.prepared)
+}
--- /dev/null
+++ b/instance/view.go
@@ -0,0 +1,110 @@
+package instance
+
+import (
+	"sync/atomic"
+	"time"
+
+	"anviltack/core"
+	"anviltack/core/patch"
+)
+
+// View is what traffic goroutines see of the control state; it never changes.
+type View struct {
+	// Version is the configuration's version; zero before the first one.
+	Version uint64
+	Config  *patch.Config
+	// Groups holds an entry for every group of Config.
+	Groups map[core.Group]*Group
+}
+
+// Group is one database group as traffic goroutines use it.
+type Group struct {
+	Name core.Group
+	// waiting counts the statements that wait for a newer state; samplers do
+	// not rest while it is above zero.
+	waiting atomic.Int64
+	state   atomic.Pointer[GroupState]
+	// wake holds one channel of capacity 1 for each sampler; replaced whole.
+	wake atomic.Pointer[[]chan struct{}]
+}
+
+// GroupState is one state of a group; it never changes but for next, which is
+// closed when a newer state is there.
+type GroupState struct {
+	Term uint64
+	// Primary is empty while no primary is known.
+	Primary core.Endpoint
+	Members map[core.Endpoint]*Member
+	// Confirmed is the point that a majority holds in Term.
+	Confirmed core.Point
+	// AsOf is a time at which the primary of Term was still the primary.
+	AsOf time.Time
+
+	next chan struct{}
+}
+
+// Member is one endpoint of a group with its newest sample.
+type Member struct {
+	Name       core.Endpoint
+	DataCentre core.DataCentre
+	Leaving    bool
+	Status     core.Status
+	// SampledAt is when the request for Status was sent; zero when there is none.
+	SampledAt time.Time
+
+	links *links
+}
+
+// State returns the newest state.
+func (g *Group) State() *GroupState { return g.state.Load() }
+
+// publish replaces the state and wakes everyone who waits for a newer one.
+func (g *Group) publish(s *GroupState) {
+	s.next = make(chan struct{})
+	old := g.state.Swap(s)
+	if old != nil {
+		close(old.next)
+	}
+}
+
+// await returns the first state that satisfies accept, or the newest one and
+// false once the deadline is over.
+func (g *Group) await(deadline time.Time, accept func(*GroupState) bool) (*GroupState, bool) {
+	s := g.State()
+	if accept(s) {
+		return s, true
+	}
+	g.waiting.Add(1)
+	defer g.waiting.Add(-1)
+	g.hurry()
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.next:
+		case <-timer.C:
+			return g.State(), false
+		}
+		s = g.State()
+		if accept(s) {
+			return s, true
+		}
+	}
+}
+
+// hurry makes the samplers of the group take a sample now.
+func (g *Group) hurry() {
+	wake := g.wake.Load()
+	if wake == nil {
+		return
+	}
+	for _, c := range *wake {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// primary returns the member that is the primary, or nil.
+func (s *GroupState) primary() *Member { return s.Members[s.Primary] }
--- /dev/null
+++ b/io/caller/conn.go
@@ -0,0 +1,134 @@
+// Package caller speaks the PostgreSQL protocol to callers.
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"anviltack/core"
+)
+
+// Conn is one caller's connection; it is for one goroutine at a time.
+type Conn struct {
+	conn    net.Conn
+	backend *pgproto3.Backend
+	// out holds encoded messages that were not sent yet.
+	out []byte
+	// failed is the first failure of the connection, or nil.
+	failed error
+}
+
+// NewConn returns a connection over an accepted socket that refuses messages
+// longer than limit bytes.
+func NewConn(nc net.Conn, limit int) *Conn {
+	b := pgproto3.NewBackend(nc, nc)
+	b.SetMaxBodyLen(limit)
+	return &Conn{conn: nc, backend: b}
+}
+
+// Receive returns the next message, valid until the next call. A malformed or
+// oversized message gives a *core.Error.
+func (c *Conn) Receive() (pgproto3.FrontendMessage, error) {
+	m, err := c.backend.Receive()
+	if err == nil {
+		return m, nil
+	}
+	return nil, classify(err)
+}
+
+// classify tells a fault in the bytes that came from the end of the connection.
+func classify(err error) error {
+	var n net.Error
+	var tooLarge *pgproto3.ExceededMaxBodyLenErr
+	switch {
+	case errors.As(err, &tooLarge):
+		return core.NewError(core.CodeTooLarge, "message of %d bytes is above the limit of %d bytes", tooLarge.ActualBodyLen, tooLarge.MaxExpectedBodyLen)
+	case errors.As(err, &n), isEnd(err):
+		return fmt.Errorf("caller: connection ended: %w", err)
+	}
+	return core.NewError(core.CodeBadMessage, "malformed message")
+}
+
+// SetReadDeadline bounds every later Receive; the zero time lifts the bound.
+func (c *Conn) SetReadDeadline(t time.Time) {
+	if err := c.conn.SetReadDeadline(t); err != nil {
+		c.fail(err)
+	}
+}
+
+// Send appends one message to those that the next Flush sends.
+func (c *Conn) Send(m pgproto3.BackendMessage) {
+	out, err := m.Encode(c.out)
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	c.out = out
+}
+
+// Len returns the number of bytes that wait for Flush.
+func (c *Conn) Len() int { return len(c.out) }
+
+// Truncate takes back everything that was appended after the first n bytes.
+func (c *Conn) Truncate(n int) { c.out = c.out[:n] }
+
+// FlushFirst sends the first n bytes that were appended.
+func (c *Conn) FlushFirst(n int) error {
+	if c.failed != nil {
+		return c.failed
+	}
+	_, err := c.conn.Write(c.out[:n])
+	rest := copy(c.out, c.out[n:])
+	c.out = c.out[:rest]
+	if cap(c.out) > maxKeptBytes && rest == 0 {
+		c.out = nil
+	}
+	if err != nil {
+		return c.fail(fmt.Errorf("caller: could not send: %w", err))
+	}
+	return nil
+}
+
+// maxKeptBytes bounds the buffer that an idle connection keeps.
+const maxKeptBytes = 16 << 10
+
+// Flush sends everything that was appended.
+func (c *Conn) Flush() error { return c.FlushFirst(len(c.out)) }
+
+func (c *Conn) fail(err error) error {
+	if c.failed == nil {
+		c.failed = err
+	}
+	return c.failed
+}
+
+// Close ends the connection at once.
+func (c *Conn) Close() { _ = c.conn.Close() }
+
+// Severity is the severity of an error as callers see it.
+type Severity string
+
+// The severities that anviltack sends.
+const (
+	SeverityError  Severity = "ERROR"
+	SeverityFatal  Severity = "FATAL"
+	SeverityNotice Severity = "NOTICE"
+)
+
+// SendError appends an error answer with its numbered code and retry advice.
+func (c *Conn) SendError(s Severity, e *core.Error) {
+	m := pgproto3.ErrorResponse{
+		Severity:            string(s),
+		SeverityUnlocalized: string(s),
+		Code:                e.Code.SQLState(),
+		Message:             e.Error(),
+	}
+	if e.RetryAfter > 0 {
+		m.Hint = "retry after " + e.RetryAfter.Round(time.Millisecond).String()
+	}
+	c.Send(&m)
+}
--- /dev/null
+++ b/io/caller/login.go
@@ -0,0 +1,130 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"anviltack/core"
+)
+
+// maxStartMessages bounds the encryption requests before the start-up message.
+const maxStartMessages = 3
+
+// Login is what a caller stated at start-up.
+type Login struct {
+	Caller     core.Caller
+	Database   core.Database
+	Parameters map[string]string
+}
+
+// CancelKey names one session in a cancel request.
+type CancelKey struct {
+	Process uint32
+	Secret  uint32
+}
+
+// CancelError is returned by Start for a connection that carried a cancel request.
+type CancelError struct {
+	Key CancelKey
+}
+
+// Error tells that the connection carried a cancel request.
+func (*CancelError) Error() string { return "caller: cancel request" }
+
+// Start reads messages up to the start-up message and answers requests for
+// encryption with a plain no. A cancel request comes back as a *CancelError.
+func (c *Conn) Start() (Login, error) {
+	for range maxStartMessages {
+		m, err := c.backend.ReceiveStartupMessage()
+		if err != nil {
+			return Login{}, classify(err)
+		}
+		switch m := m.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := c.conn.Write([]byte{'N'}); err != nil {
+				return Login{}, fmt.Errorf("caller: could not answer: %w", err)
+			}
+		case *pgproto3.CancelRequest:
+			return Login{}, &CancelError{Key: cancelKey(m)}
+		case *pgproto3.StartupMessage:
+			return login(m), nil
+		}
+	}
+	return Login{}, core.NewError(core.CodeBadMessage, "no start-up message")
+}
+
+func login(m *pgproto3.StartupMessage) Login {
+	l := Login{
+		Caller:     core.Caller(m.Parameters["user"]),
+		Database:   core.Database(m.Parameters["database"]),
+		Parameters: m.Parameters,
+	}
+	if l.Database == "" {
+		l.Database = core.Database(l.Caller)
+	}
+	return l
+}
+
+func cancelKey(m *pgproto3.CancelRequest) CancelKey {
+	k := CancelKey{Process: m.ProcessID}
+	for _, b := range m.SecretKey {
+		k.Secret = k.Secret<<8 | uint32(b)
+	}
+	return k
+}
+
+// Welcome ends the start-up: authentication is done, the session's parameters
+// and its cancel key follow, and the caller may send statements.
+func (c *Conn) Welcome(key CancelKey, parameters []pgproto3.ParameterStatus) error {
+	c.Send(&pgproto3.AuthenticationOk{})
+	for i := range parameters {
+		c.Send(&parameters[i])
+	}
+	secret := []byte{byte(key.Secret >> 24), byte(key.Secret >> 16), byte(key.Secret >> 8), byte(key.Secret)}
+	c.Send(&pgproto3.BackendKeyData{ProcessID: key.Process, SecretKey: secret})
+	c.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	return c.Flush()
+}
+
+// Options returns the run-time parameters of the start-up message, with those
+// given as "-c name=value" in its options parameter.
+func (l Login) Options() map[string]string {
+	options := make(map[string]string, len(l.Parameters))
+	for name, value := range l.Parameters {
+		switch name {
+		case "user", "database", "options", "replication":
+		default:
+			options[name] = value
+		}
+	}
+	words := strings.Fields(l.Parameters["options"])
+	for i, w := range words {
+		setting, ok := strings.CutPrefix(w, "-c")
+		if !ok {
+			continue
+		}
+		if setting == "" && i+1 < len(words) {
+			setting = words[i+1]
+		}
+		if name, value, ok := strings.Cut(setting, "="); ok {
+			options[name] = value
+		}
+	}
+	return options
+}
+
+// String returns the key for logs, without its secret.
+func (k CancelKey) String() string { return strconv.FormatUint(uint64(k.Process), 10) }
+
+func isEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.Canceled)
+}
--- /dev/null
+++ b/io/endpoint/conn.go
@@ -0,0 +1,203 @@
+// Package endpoint speaks the PostgreSQL protocol to the members of a database
+// group.
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"anviltack/core"
+)
+
+// maxAnswerBytes bounds one message of an endpoint; PostgreSQL's own bound is
+// 1 GiB.
+const maxAnswerBytes = 1 << 30
+
+// Conn is one connection to an endpoint; it is for one goroutine at a time.
+type Conn struct {
+	// Endpoint is the name of the member at the other end.
+	Endpoint core.Endpoint
+	// Named holds the prepared statements that the other end knows.
+	Named map[string]struct{}
+	// Unnamed is the text of the unnamed prepared statement at the other end.
+	Unnamed string
+	// Session describes the session state that was set at the other end.
+	Session string
+
+	conn     net.Conn
+	frontend *pgproto3.Frontend
+	// out holds encoded messages that were not sent yet.
+	out []byte
+	// key lets Cancel name this connection.
+	key pgproto3.BackendKeyData
+	// broken is the first failure of the connection, or nil.
+	broken error
+}
+
+// ServerError is an error that the endpoint reported.
+type ServerError struct {
+	State   string
+	Message string
+}
+
+// Error returns the SQLSTATE and the message.
+func (e *ServerError) Error() string {
+	return fmt.Sprintf("endpoint: %s: %s", e.State, e.Message)
+}
+
+// Login is what a connection states at start-up.
+type Login struct {
+	User     string
+	Database string
+	// Parameters are further run-time parameters; it may be nil.
+	Parameters map[string]string
+}
+
+// Dial opens a connection and logs in before the context ends. Its error is a
+// *ServerError when the endpoint answered with one.
+func Dial(ctx context.Context, name core.Endpoint, address netip.AddrPort, login Login) (*Conn, error) {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("endpoint: could not connect to %s: %w", name, err)
+	}
+	c := &Conn{
+		Endpoint: name,
+		Named:    make(map[string]struct{}),
+		conn:     nc,
+		frontend: pgproto3.NewFrontend(nc, nc),
+	}
+	c.frontend.SetMaxBodyLen(maxAnswerBytes)
+	if deadline, ok := ctx.Deadline(); ok {
+		c.SetDeadline(deadline)
+	}
+	if err := c.start(login); err != nil {
+		c.Close()
+		return nil, err
+	}
+	c.SetDeadline(time.Time{})
+	return c, nil
+}
+
+func (c *Conn) start(login Login) error {
+	parameters := map[string]string{"user": login.User, "database": login.Database}
+	for name, value := range login.Parameters {
+		parameters[name] = value
+	}
+	c.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: parameters})
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := m.(type) {
+		case *pgproto3.AuthenticationOk, *pgproto3.ParameterStatus, *pgproto3.NoticeResponse:
+		case *pgproto3.BackendKeyData:
+			c.key = pgproto3.BackendKeyData{ProcessID: m.ProcessID, SecretKey: append([]byte(nil), m.SecretKey...)}
+		case *pgproto3.ErrorResponse:
+			return &ServerError{State: m.Code, Message: m.Message}
+		case *pgproto3.ReadyForQuery:
+			return nil
+		default:
+			return fmt.Errorf("endpoint: unexpected %T at start-up", m)
+		}
+	}
+}
+
+// SetDeadline bounds every later Flush and Receive; the zero time lifts the bound.
+func (c *Conn) SetDeadline(t time.Time) {
+	if err := c.conn.SetDeadline(t); err != nil {
+		_ = c.fail(err)
+	}
+}
+
+// Send appends one message to those that the next Flush sends.
+func (c *Conn) Send(m pgproto3.FrontendMessage) {
+	out, err := m.Encode(c.out)
+	if err != nil {
+		_ = c.fail(err)
+		return
+	}
+	c.out = out
+}
+
+// SendEncoded appends messages that are encoded already.
+func (c *Conn) SendEncoded(b []byte) {
+	c.out = append(c.out, b...)
+}
+
+// Flush sends what was appended.
+func (c *Conn) Flush() error {
+	if c.broken != nil {
+		return c.broken
+	}
+	_, err := c.conn.Write(c.out)
+	c.out = c.out[:0]
+	if err != nil {
+		return c.fail(fmt.Errorf("endpoint: could not send to %s: %w", c.Endpoint, err))
+	}
+	return nil
+}
+
+// Receive returns the next message, valid until the next call.
+func (c *Conn) Receive() (pgproto3.BackendMessage, error) {
+	if c.broken != nil {
+		return nil, c.broken
+	}
+	m, err := c.frontend.Receive()
+	if err != nil {
+		return nil, c.fail(fmt.Errorf("endpoint: no answer from %s: %w", c.Endpoint, err))
+	}
+	return m, nil
+}
+
+// Err returns the first failure of the connection, or nil.
+func (c *Conn) Err() error { return c.broken }
+
+func (c *Conn) fail(err error) error {
+	if c.broken == nil {
+		c.broken = err
+	}
+	return c.broken
+}
+
+// Close ends the connection at once.
+func (c *Conn) Close() {
+	_ = c.fail(net.ErrClosed)
+	_ = c.conn.Close()
+}
+
+// Cancel asks the endpoint, over a connection of its own, to stop the statement
+// that runs on c. It may be called from another goroutine.
+func (c *Conn) Cancel(ctx context.Context) error {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", c.conn.RemoteAddr().String())
+	if err != nil {
+		return fmt.Errorf("endpoint: could not connect to cancel: %w", err)
+	}
+	defer nc.Close() //nolint:errcheck // Nothing is read or written afterwards.
+	request := pgproto3.CancelRequest{ProcessID: c.key.ProcessID, SecretKey: c.key.SecretKey}
+	b, err := request.Encode(nil)
+	if err != nil {
+		return fmt.Errorf("endpoint: could not encode a cancel request: %w", err)
+	}
+	if _, err := nc.Write(b); err != nil {
+		return fmt.Errorf("endpoint: could not send a cancel request: %w", err)
+	}
+	return nil
+}
+
+// IsTimeout reports whether an error means that no answer came in time.
+func IsTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,110 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// parser collects the values and the faults of one file.
+type parser struct {
+	text     []byte
+	settings Settings
+	// seen holds the names met so far.
+	seen   map[string]bool
+	faults []Fault
+}
+
+func (p *parser) members(o *hujson.Object) {
+	p.seen = make(map[string]bool, len(o.Members))
+	for _, m := range o.Members {
+		var name string
+		if l, ok := m.Name.Value.(hujson.Literal); ok {
+			name = l.String()
+		}
+		line := 1 + bytes.Count(p.text[:m.Name.StartOffset], []byte("\n"))
+		p.member(name, line, m.Value)
+	}
+}
+
+func (p *parser) member(name string, line int, v hujson.Value) {
+	e, ok := lookup(name)
+	if !ok {
+		p.fault(Fault{Line: line, Name: name, Problem: "unknown setting", Allowed: strings.Join(Names(), ", ")})
+		return
+	}
+	if p.seen[name] {
+		p.fault(Fault{Line: line, Name: name, Problem: "stated twice", Allowed: "once"})
+		return
+	}
+	p.seen[name] = true
+	values, ok := texts(v)
+	if !ok || (!e.list && len(values) != 1) {
+		p.fault(Fault{Line: line, Name: name, Problem: "wrong type", Allowed: e.Allowed})
+		return
+	}
+	if err := e.set(&p.settings, values); err != nil {
+		p.fault(Fault{Line: line, Name: name, Problem: err.Error(), Allowed: e.Allowed})
+	}
+}
+
+// finish sets the defaults and names what is missing.
+func (p *parser) finish() {
+	for _, e := range table {
+		if p.seen[e.Name] {
+			continue
+		}
+		if e.required {
+			p.fault(Fault{Name: e.Name, Problem: "missing", Allowed: e.Allowed})
+			continue
+		}
+		if e.Default == "" {
+			continue
+		}
+		if err := e.set(&p.settings, []string{e.Default}); err != nil {
+			p.fault(Fault{Name: e.Name, Problem: "bad default: " + err.Error()})
+		}
+	}
+}
+
+func (p *parser) fault(f Fault) {
+	p.faults = append(p.faults, f)
+}
+
+// texts returns a string, a number or an array of them as texts.
+func texts(v hujson.Value) ([]string, bool) {
+	switch v := v.Value.(type) {
+	case hujson.Literal:
+		s, ok := scalar(v)
+		return []string{s}, ok
+	case *hujson.Array:
+		values := make([]string, 0, len(v.Elements))
+		for _, e := range v.Elements {
+			l, ok := e.Value.(hujson.Literal)
+			if !ok {
+				return nil, false
+			}
+			s, ok := scalar(l)
+			if !ok {
+				return nil, false
+			}
+			values = append(values, s)
+		}
+		return values, true
+	}
+	return nil, false
+}
+
+func scalar(l hujson.Literal) (string, bool) {
+	switch l.Kind() {
+	case '"':
+		var s string
+		err := json.Unmarshal(l, &s)
+		return s, err == nil
+	case '0':
+		return string(l), true
+	}
+	return "", false
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,123 @@
+// Package settings reads the settings file of one instance: JSON with comments,
+// one table of names with defaults, checked whole at start.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"anviltack/core"
+)
+
+// Settings are the checked settings of one instance.
+type Settings struct {
+	// Instance is unique among all instances of the deployment.
+	Instance core.Instance
+	// DataCentre is where the instance runs.
+	DataCentre core.DataCentre
+	// Callers is the address that callers connect to.
+	Callers netip.AddrPort
+	// Operators is the address of the operators' HTTP interface.
+	Operators netip.AddrPort
+	// Peers is the address for other instances.
+	Peers netip.AddrPort
+	// Platform holds the addresses of the platform's service; at least one.
+	Platform []netip.AddrPort
+	// Seeds are peer addresses to ask for the configuration at start when the
+	// platform does not answer; it may be empty.
+	Seeds []netip.AddrPort
+	// Token is the bearer token that operators show; never empty.
+	Token string
+	// User is the name under which the instance logs in at endpoints.
+	User string
+	// Sample is the time between two samples of an idle endpoint.
+	Sample time.Duration
+	// Connect bounds the opening of a connection to an endpoint.
+	Connect time.Duration
+	// Answer bounds the answer to a status, fence or promote request.
+	Answer time.Duration
+	// Drain is how long a planned stop waits for work in flight.
+	Drain time.Duration
+	// Message is the size in bytes above which a caller's message is refused.
+	Message int
+	// Sessions is how many callers may be connected at once.
+	Sessions int
+	// Level is the lowest level that is logged: debug, info, warning or error.
+	Level string
+}
+
+// Fault is one thing that is wrong with a settings file.
+type Fault struct {
+	// Line counts from 1; zero means the file as a whole.
+	Line int
+	// Name is the setting, or empty.
+	Name string
+	// Problem says what is wrong.
+	Problem string
+	// Allowed says what would be accepted, or is empty.
+	Allowed string
+}
+
+// String returns the fault as one line of text.
+func (f Fault) String() string {
+	var b strings.Builder
+	if f.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", f.Line)
+	}
+	if f.Name != "" {
+		fmt.Fprintf(&b, "%s: ", f.Name)
+	}
+	b.WriteString(f.Problem)
+	if f.Allowed != "" {
+		fmt.Fprintf(&b, " (allowed: %s)", f.Allowed)
+	}
+	return b.String()
+}
+
+// Error lists every fault of a settings file.
+type Error struct {
+	Faults []Fault
+}
+
+// Error returns one line a fault.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.String()
+	}
+	return "settings: " + strings.Join(lines, "\nsettings: ")
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: could not read the file: %w", err)
+	}
+	return Parse(text)
+}
+
+// Parse checks the text of a settings file; its error is an *Error that names
+// all faults.
+func Parse(text []byte) (Settings, error) {
+	root, err := hujson.Parse(text)
+	if err != nil {
+		return Settings{}, &Error{Faults: []Fault{{Problem: err.Error()}}}
+	}
+	object, ok := root.Value.(*hujson.Object)
+	if !ok {
+		return Settings{}, &Error{Faults: []Fault{{Line: 1, Problem: "the file is not an object", Allowed: "{...}"}}}
+	}
+	p := parser{text: text}
+	p.members(object)
+	p.finish()
+	if len(p.faults) > 0 {
+		return Settings{}, &Error{Faults: p.faults}
+	}
+	return p.settings, nil
+}
