--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -56,7 +56,7 @@
 // SetReadDeadline bounds every later Receive; the zero time lifts the bound.
 func (c *Conn) SetReadDeadline(t time.Time) {
 	if err := c.conn.SetReadDeadline(t); err != nil {
-		c.fail(err)
+		_ = c.fail(err)
 	}
 }
 
@@ -64,7 +64,7 @@
 func (c *Conn) Send(m pgproto3.BackendMessage) {
 	out, err := m.Encode(c.out)
 	if err != nil {
-		c.fail(err)
+		_ = c.fail(err)
 		return
 	}
 	c.out = out
