--- /dev/null
+++ b/docs_test.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"anviltack/settings"
+)
+
+// constants returns the numbered constants of a type in a file of core by name,
+// without the prefix.
+func constants(t *testing.T, file, prefix string) map[string]string {
+	t.Helper()
+	f, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := make(map[string]string)
+	ast.Inspect(f, func(n ast.Node) bool {
+		v, ok := n.(*ast.ValueSpec)
+		if !ok || len(v.Values) != 1 {
+			return true
+		}
+		name, ok := strings.CutPrefix(v.Names[0].Name, prefix)
+		if literal, isLiteral := v.Values[0].(*ast.BasicLit); ok && isLiteral && literal.Kind == token.INT {
+			found[name] = literal.Value
+		}
+		return true
+	})
+	return found
+}
+
+// rows returns the number of each named row of a table in docs.
+func rows(t *testing.T, file, pattern string) map[string]string {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := make(map[string]string)
+	for _, m := range regexp.MustCompile(pattern).FindAllStringSubmatch(string(text), -1) {
+		found[m[2]] = m[1]
+	}
+	return found
+}
+
+func TestCodesAreListed(t *testing.T) {
+	is := is.New(t)
+	is.Equal(rows(t, "docs/CODES.md", `(?m)^\| (\d{4}) \|(?: \w{5} \|)? (\w+) \|`), constants(t, "core/code.go", "Code"))
+}
+
+func TestEventsAreListed(t *testing.T) {
+	is := is.New(t)
+	is.Equal(rows(t, "docs/EVENTS.md", `(?m)^\| (\d{3}) \| (\w+) \|`), constants(t, "core/event.go", "Event"))
+}
+
+func TestSettingsAreListed(t *testing.T) {
+	is := is.New(t)
+	want := make(map[string]string)
+	for _, e := range settings.Table() {
+		want[e.Name] = e.Default
+	}
+	found := make(map[string]string)
+	text, err := os.ReadFile("docs/SETTINGS.md")
+	is.NoErr(err)
+	for _, m := range regexp.MustCompile("(?m)^\\| `(\\w+)` \\| ([^|]*) \\|").FindAllStringSubmatch(string(text), -1) {
+		found[m[1]] = strings.Trim(m[2], "` ")
+	}
+	is.Equal(found, want)
+}
