Carry session settings, run reads of a kind in one guarded batch, add the dump

Cause: a pooled connection must not carry one session's SET into another's statements; and a pipelined BEGIN READ ONLY that failed would have let the statement behind it run outside a read-only transaction.

Change: settings of a session are replayed, pipelined, on a connection whose state differs; the start of a read-only transaction and the statement share one Sync, so that nothing runs where the start fails. A dump of the instance's state.

Ruled out: DISCARD ALL before each reuse, which also drops the prepared statements that sessions share.

--- /dev/null
+++ b/instance/dump.go
@@ -0,0 +1,113 @@
+package instance
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"anviltack/core"
+)
+
+// maxDumpGroups bounds the groups in one dump.
+const maxDumpGroups = 5000
+
+// Dump is the state of one instance as operators see it; it holds no secret and
+// no statement text.
+type Dump struct {
+	Instance   core.Instance   `json:"instance"`
+	DataCentre core.DataCentre `json:"data_centre"`
+	// Version is the version of the configuration in force.
+	Version  uint64      `json:"version"`
+	Sessions int         `json:"sessions"`
+	Groups   []GroupDump `json:"groups"`
+	// Omitted is how many groups were left out.
+	Omitted int `json:"omitted,omitempty"`
+}
+
+// GroupDump is the state of one group.
+type GroupDump struct {
+	Group     core.Group    `json:"group"`
+	Term      uint64        `json:"term"`
+	Primary   core.Endpoint `json:"primary"`
+	Confirmed core.Point    `json:"confirmed"`
+	// ConfirmedAge is how long ago the primary was last known to be the primary.
+	ConfirmedAge string       `json:"confirmed_age"`
+	Waiting      int64        `json:"waiting"`
+	Members      []MemberDump `json:"members"`
+}
+
+// MemberDump is the state of one endpoint.
+type MemberDump struct {
+	Endpoint   core.Endpoint   `json:"endpoint"`
+	DataCentre core.DataCentre `json:"data_centre"`
+	Leaving    bool            `json:"leaving"`
+	Status     core.Status     `json:"status"`
+	SampleAge  string          `json:"sample_age"`
+	Links      LinksDump       `json:"links"`
+}
+
+// LinksDump is the state of the connections to one endpoint.
+type LinksDump struct {
+	Share int `json:"share"`
+	Busy  int `json:"busy"`
+	Idle  int `json:"idle"`
+}
+
+// Dump returns the state from a copy of the view; it does not hold up traffic.
+func (in *Instance) Dump() Dump {
+	view := in.View()
+	d := Dump{
+		Instance:   in.settings.Instance,
+		DataCentre: in.settings.DataCentre,
+		Version:    view.Version,
+		Sessions:   in.sessions.count(),
+	}
+	now := time.Now()
+	for _, g := range view.Groups {
+		if len(d.Groups) >= maxDumpGroups {
+			d.Omitted++
+			continue
+		}
+		d.Groups = append(d.Groups, g.dump(now))
+	}
+	slices.SortFunc(d.Groups, func(a, b GroupDump) int { return strings.Compare(string(a.Group), string(b.Group)) })
+	return d
+}
+
+func (g *Group) dump(now time.Time) GroupDump {
+	s := g.State()
+	d := GroupDump{
+		Group:        g.Name,
+		Term:         s.Term,
+		Primary:      s.Primary,
+		Confirmed:    s.Confirmed,
+		ConfirmedAge: age(now, s.AsOf),
+		Waiting:      g.waiting.Load(),
+	}
+	for _, m := range s.Members {
+		d.Members = append(d.Members, MemberDump{
+			Endpoint:   m.Name,
+			DataCentre: m.DataCentre,
+			Leaving:    m.Leaving,
+			Status:     m.Status,
+			SampleAge:  age(now, m.SampledAt),
+			Links:      m.links.dump(),
+		})
+	}
+	slices.SortFunc(d.Members, func(a, b MemberDump) int { return strings.Compare(string(a.Endpoint), string(b.Endpoint)) })
+	return d
+}
+
+func (l *links) dump() LinksDump {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return LinksDump{Share: cap(l.tokens), Busy: cap(l.tokens) - len(l.tokens), Idle: len(l.idle)}
+}
+
+// age returns the time since t as text, "never" for the zero time.
+func age(now, t time.Time) string {
+	if t.IsZero() {
+		return "never"
+	}
+	return now.Sub(t).Round(time.Millisecond).String()
+}
--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -16,6 +16,8 @@
 	kind stepKind
 	// forward passes the answer on to the caller.
 	forward bool
+	// hideNoData keeps NoData back, which a simple query does not have.
+	hideNoData bool
 	// made tells that the answer is made here; none comes from the endpoint.
 	made bool
 	// statement becomes known at the endpoint with the answer, or is nil.
@@ -45,6 +47,8 @@
 	streamed bool
 	// quiet passes nothing on.
 	quiet bool
+	// prefaces is how many simple queries went ahead of the unit.
+	prefaces int
 }
 
 func newExchange(in *endpoint.Conn, out *caller.Conn) *exchange {
@@ -56,30 +60,66 @@
 	x.in.Send(&pgproto3.Query{String: sql})
 }
 
+// restore appends what gives the other end the session state of a caller.
+func (x *exchange) restore(state sessionState) {
+	if x.in.Session == state.key {
+		return
+	}
+	x.preface(resetStatement)
+	for _, sql := range state.statements {
+		x.preface(sql)
+	}
+	x.in.Session = state.key
+}
+
+// preface appends a simple query whose answer is not the caller's.
+func (x *exchange) preface(sql string) {
+	x.query(sql)
+	x.prefaces++
+}
+
 // unit appends the messages of a unit.
 func (x *exchange) unit(u *unit) {
 	if u.simple {
 		x.query(u.sql)
 		return
 	}
+	x.steps(u)
+	x.in.Send(&pgproto3.Sync{})
+}
+
+func (x *exchange) steps(u *unit) {
 	for _, st := range u.steps {
 		x.step(st)
 	}
+}
+
+// readOnly appends the messages of a unit behind the start of a read-only
+// transaction. All of it goes by the extended protocol up to one Sync: where the
+// start fails nothing else runs, and a text of several statements is refused.
+func (x *exchange) readOnly(u *unit) {
+	x.parse(beginReadOnly, false)
+	x.in.Send(&pgproto3.Bind{PreparedStatement: beginReadOnly.name})
+	x.in.Send(&pgproto3.Execute{})
+	x.replies = append(x.replies, reply{kind: stepBind}, reply{kind: stepExecute})
+	if u.simple {
+		x.single(u.sql)
+	} else {
+		x.steps(u)
+	}
 	x.in.Send(&pgproto3.Sync{})
 }
 
-// single appends a simple query by the extended protocol, which refuses a text
-// of several statements.
+// single appends the text of a simple query by the extended protocol.
 func (x *exchange) single(sql string) {
 	x.in.Send(&pgproto3.Parse{Query: sql})
 	x.in.Send(&pgproto3.Bind{})
 	x.in.Send(&pgproto3.Describe{ObjectType: 'P'})
 	x.in.Send(&pgproto3.Execute{})
-	x.in.Send(&pgproto3.Sync{})
 	x.in.Unnamed = sql
 	x.replies = append(x.replies,
 		reply{kind: stepParse}, reply{kind: stepBind},
-		reply{kind: stepDescribePortal, forward: true}, reply{kind: stepExecute, forward: true})
+		reply{kind: stepDescribePortal, forward: true, hideNoData: true}, reply{kind: stepExecute, forward: true})
 }
 
 func (x *exchange) step(st step) {
@@ -130,6 +170,11 @@
 // answer reads the answers to one unit up to ReadyForQuery, which is not passed on.
 func (x *exchange) answer() (outcome, error) {
 	var o outcome
+	for ; x.prefaces > 0; x.prefaces-- {
+		if err := x.skipPreface(); err != nil {
+			return o, err
+		}
+	}
 	for {
 		x.made()
 		m, err := x.in.Receive()
@@ -147,6 +192,23 @@
 	}
 }
 
+// skipPreface reads the answer to one preface; one that failed fails the exchange.
+func (x *exchange) skipPreface() error {
+	var failure error
+	for {
+		m, err := x.in.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := m.(type) {
+		case *pgproto3.ErrorResponse:
+			failure = &endpoint.ServerError{State: m.Code, Message: m.Message}
+		case *pgproto3.ReadyForQuery:
+			return failure
+		}
+	}
+}
+
 // made passes on the answers at the head that need none from the endpoint.
 func (x *exchange) made() {
 	for len(x.replies) > 0 && x.replies[0].made {
@@ -167,6 +229,10 @@
 		x.hold()
 		x.pass(m)
 	case *pgproto3.CommandComplete:
+		if x.isHidden() {
+			x.next(m)
+			return nil
+		}
 		o.tag = string(m.CommandTag)
 		x.hold()
 		x.next(m)
@@ -191,6 +257,11 @@
 	return nil
 }
 
+// isHidden reports whether the next answer is kept from the caller.
+func (x *exchange) isHidden() bool {
+	return len(x.replies) > 0 && !x.replies[0].forward
+}
+
 // next passes a message on that completes the answer to one step. RowDescription
 // completes a describe step, and in a simple query nothing.
 func (x *exchange) next(m pgproto3.BackendMessage) {
@@ -198,7 +269,8 @@
 		x.pass(m)
 		return
 	}
-	if x.replies[0].forward {
+	_, noData := m.(*pgproto3.NoData)
+	if x.replies[0].forward && (!noData || !x.replies[0].hideNoData) {
 		x.pass(m)
 	}
 	x.replies = x.replies[1:]
--- a/instance/read.go
+++ b/instance/read.go
@@ -22,23 +22,12 @@
 // read runs the unit with the endpoint's status behind it.
 func (w *work) read() error {
 	sentAt := time.Now()
-	w.x.query(beginReadOnlyStatement)
-	if w.unit.simple {
-		w.x.single(w.unit.sql)
-	} else {
-		w.x.unit(w.unit)
-	}
+	w.x.readOnly(w.unit)
 	w.x.query(endpoint.StatusStatement)
 	w.x.query(commitStatement)
 	if err := w.conn.Flush(); err != nil {
 		return w.lostRead()
 	}
-	replies := w.x.replies
-	w.x.replies = nil
-	if _, err := w.x.skip(); err != nil {
-		return w.lostRead()
-	}
-	w.x.replies = replies
 	o, err := w.x.answer()
 	if err != nil {
 		return w.lostRead()
--- a/instance/session.go
+++ b/instance/session.go
@@ -35,6 +35,8 @@
 	reported core.Point
 	arrived  time.Time
 	prepared map[string]*prepared
+	// state is what the caller set for the session.
+	state sessionState
 	// held is the connection of an open transaction, or nil.
 	held *hold
 }
--- a/instance/sessions.go
+++ b/instance/sessions.go
@@ -117,3 +117,9 @@
 func cutPrefixFold(s, prefix string) (string, bool) {
 	return strings.CutPrefix(strings.ToLower(s), prefix)
 }
+
+func (s *sessions) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.entries)
+}
--- /dev/null
+++ b/instance/state.go
@@ -0,0 +1,61 @@
+package instance
+
+import (
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"anviltack/core"
+)
+
+const (
+	resetStatement = "RESET ALL"
+	// maxSettings bounds the run-time parameters that one session may set.
+	maxSettings = 50
+)
+
+// sessionState is what a caller set for its session; every connection that runs
+// its statements gets it first.
+type sessionState struct {
+	// key tells states apart; empty for a session that set nothing.
+	key        string
+	statements []string
+}
+
+// beginReadOnly starts the transaction of a read of a stated kind.
+var beginReadOnly = newBegin()
+
+func newBegin() *prepared {
+	p := &prepared{name: "anviltack_begin", sql: beginReadOnlyStatement}
+	encoded, err := (&pgproto3.Parse{Name: p.name, Query: p.sql}).Encode(nil)
+	if err != nil {
+		panic(err)
+	}
+	p.encoded = encoded
+	return p
+}
+
+// isSet recognizes a SET or RESET of a run-time parameter for the session; SET
+// LOCAL and SET TRANSACTION end with their transaction.
+func isSet(sql string) bool {
+	words := strings.Fields(strings.ToLower(sql))
+	if len(words) < 2 {
+		return false
+	}
+	switch words[0] {
+	case "reset":
+		return true
+	case "set":
+		return words[1] != "local" && words[1] != "transaction" && words[1] != "constraints"
+	}
+	return false
+}
+
+// add returns the state after one more statement.
+func (s sessionState) add(sql string) (sessionState, *core.Error) {
+	if len(s.statements) >= maxSettings {
+		return s, core.NewError(core.CodeTooLarge, "more than %d settings in one session", maxSettings)
+	}
+	statements := append(append([]string(nil), s.statements...), sql)
+	return sessionState{key: strings.Join(statements, "\x00"), statements: statements}, nil
+}
--- a/instance/write.go
+++ b/instance/write.go
@@ -68,7 +68,9 @@
 	}
 	s.begin(conn)
 	conn.SetDeadline(u.deadline)
-	return &work{session: s, unit: u, member: m, term: term, conn: conn, x: newExchange(conn, s.conn)}, nil
+	w := &work{session: s, unit: u, member: m, term: term, conn: conn, x: newExchange(conn, s.conn)}
+	w.x.restore(s.state)
+	return w, nil
 }
 
 // write runs the unit. It reports whether the unit did not run and may be tried
@@ -102,6 +104,9 @@
 		w.session.finish()
 		return false, w.session.ready(o.status)
 	}
+	if o.failure == "" && w.unit.simple && isSet(w.unit.sql) {
+		return false, w.remember()
+	}
 	w.release(true)
 	if o.tag == "" && o.failure != "" || !w.unit.executes {
 		return false, w.session.ready('I')
@@ -109,6 +114,20 @@
 	return false, w.session.confirm(w.unit, status, w.x)
 }
 
+// remember keeps a setting that the endpoint took for the rest of the session.
+func (w *work) remember() error {
+	state, e := w.session.state.add(w.unit.sql)
+	if e != nil {
+		w.x.retract()
+		w.release(false)
+		return w.session.refuse(e)
+	}
+	w.session.state = state
+	w.conn.Session = state.key
+	w.release(true)
+	return w.session.ready('I')
+}
+
 func isPrimary(s core.Status, term uint64) bool {
 	return s.Role == core.RolePrimary && s.Term == term && s.Fence == term
 }
