--- /dev/null
+++ b/bench/statement_test.go
@@ -0,0 +1,163 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"anviltack/standin/rig"
+)
+
+const (
+	readSQL      = "SELECT value FROM item WHERE key = $1"
+	seriesSQL    = readSQL + " /*kind='series'*/"
+	lag          = 5 * time.Millisecond
+	measuredRuns = 2000
+	callers      = 8
+)
+
+func connectDirect(t testing.TB, r *rig.Rig) *pgx.Conn {
+	t.Helper()
+	c, err := pgx.Connect(context.Background(), fmt.Sprintf("postgres://anviltack@%s/postgres?sslmode=disable", r.Address("e1")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+func connectInstance(t testing.TB, r *rig.Rig, name string) *pgx.Conn {
+	t.Helper()
+	if err := r.Connect(name, "analyst", "i1", nil); err != nil {
+		t.Fatal(err)
+	}
+	return r.Sessions[name]
+}
+
+func read(t testing.TB, c *pgx.Conn, sql string) {
+	var value string
+	if err := c.QueryRow(context.Background(), sql, "a").Scan(&value); err != nil {
+		t.Error(err)
+	}
+}
+
+// median returns the median time of one read.
+func median(t testing.TB, c *pgx.Conn, sql string) time.Duration {
+	times := make([]time.Duration, measuredRuns)
+	for i := range times {
+		start := time.Now()
+		read(t, c, sql)
+		times[i] = time.Since(start)
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
+}
+
+// rate returns the reads a second of several callers at once.
+func rate(t testing.TB, conns []*pgx.Conn, sql string) float64 {
+	var wg sync.WaitGroup
+	start := time.Now()
+	for _, c := range conns {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for range measuredRuns / callers {
+				read(t, c, sql)
+			}
+		}()
+	}
+	wg.Wait()
+	return measuredRuns / time.Since(start).Seconds()
+}
+
+// mallocs returns the allocations of the whole process for one read.
+func mallocs(t testing.TB, c *pgx.Conn, sql string) float64 {
+	return testing.AllocsPerRun(measuredRuns, func() { read(t, c, sql) })
+}
+
+func newGroup(t testing.TB) *rig.Rig {
+	r := rig.New(t)
+	r.Start(1, lag)
+	c := connectInstance(t, r, "writer")
+	if _, err := c.Exec(context.Background(), "INSERT INTO item (key, value) VALUES ('a', '1')"); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// BenchmarkRead prints the latency, throughput and allocations of reads through
+// one instance as ratios to a direct connection.
+func BenchmarkRead(b *testing.B) {
+	r := newGroup(b)
+	direct := connectDirect(b, r)
+	through := connectInstance(b, r, "through")
+	read(b, direct, readSQL)
+	read(b, through, seriesSQL)
+	var directConns, throughConns []*pgx.Conn
+	for i := range callers {
+		directConns = append(directConns, connectDirect(b, r))
+		throughConns = append(throughConns, connectInstance(b, r, fmt.Sprint("through", i)))
+	}
+	for b.Loop() {
+		d, p := median(b, direct, readSQL), median(b, through, seriesSQL)
+		b.ReportMetric(float64(p)/float64(d), "latency-ratio")
+		b.ReportMetric(rate(b, throughConns, seriesSQL)/rate(b, directConns, readSQL), "throughput-ratio")
+		b.ReportMetric(mallocs(b, through, seriesSQL)-mallocs(b, direct, readSQL), "added-allocs/read")
+	}
+}
+
+// BenchmarkUnlabelled prints the latency of statements that go to the primary
+// and wait for a majority, as a ratio to a direct connection.
+func BenchmarkUnlabelled(b *testing.B) {
+	r := newGroup(b)
+	direct := connectDirect(b, r)
+	through := connectInstance(b, r, "through")
+	read(b, direct, readSQL)
+	read(b, through, readSQL)
+	for b.Loop() {
+		b.ReportMetric(float64(median(b, through, readSQL))/float64(median(b, direct, readSQL)), "latency-ratio")
+	}
+}
+
+// maxIdleBytes is the stated bound for one idle caller connection.
+const maxIdleBytes = 16 << 10
+
+// idleCallers is how many idle callers are opened to measure one.
+const idleCallers = 200
+
+// TestIdleCallerBytes bounds what one idle caller connection costs.
+func TestIdleCallerBytes(t *testing.T) {
+	r := newGroup(t)
+	before := liveBytes()
+	for i := range idleCallers {
+		name := fmt.Sprint("idle", i)
+		c := connectInstance(t, r, name)
+		read(t, c, seriesSQL)
+		delete(r.Sessions, name)
+		h, err := c.PgConn().Hijack()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = h.Conn.Close() })
+	}
+	each := (liveBytes() - before) / idleCallers
+	t.Logf("%d bytes for each idle caller", each)
+	if each > maxIdleBytes {
+		t.Errorf("an idle caller costs %d bytes, above %d", each, maxIdleBytes)
+	}
+}
+
+// liveBytes returns the heap and stack bytes in use after a collection.
+func liveBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
--- /dev/null
+++ b/golden/golden_test.go
@@ -0,0 +1,180 @@
+package golden
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"anviltack/standin/endpoint"
+	"anviltack/standin/rig"
+)
+
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		r := script{rig.New(t)}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			r.SetTest(t)
+			return r.command(d)
+		})
+	})
+}
+
+// script runs the commands of one golden file.
+type script struct {
+	*rig.Rig
+}
+
+// command runs one command of a script and returns what it printed.
+func (r script) command(d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "start":
+		return r.commandStart(d)
+	case "connect":
+		return r.commandConnect(d) + "\n"
+	case "exec":
+		return r.exec(argument(d, "session"), d.Input) + "\n"
+	case "fault":
+		r.Fault(argument(d, "endpoint"), d.Input)
+		return ""
+	case "kill":
+		return r.commandKill(d)
+	case "await-primary":
+		not := argument(d, "not")
+		r.Until("a new primary", func() bool { p := r.Primary(); return p != "" && p != not })
+		return "there is a new primary\n"
+	case "await-rows":
+		return r.commandAwaitRows(d)
+	case "rows":
+		return r.rows(r.Primary())
+	}
+	return "unknown command " + d.Cmd + "\n"
+}
+
+func (r script) commandStart(d *datadriven.TestData) string {
+	instances, err := strconv.Atoi(argument(d, "instances"))
+	if err != nil {
+		return err.Error()
+	}
+	lag, _ := time.ParseDuration(argument(d, "lag"))
+	r.Start(instances, lag)
+	return ""
+}
+
+func (r script) commandConnect(d *datadriven.TestData) string {
+	parameters := make(map[string]string)
+	if from := argument(d, "mark-of"); from != "" {
+		parameters["anviltack.mark"] = r.Sessions[from].PgConn().ParameterStatus("anviltack.mark")
+	}
+	if mark := argument(d, "mark"); mark != "" {
+		parameters["anviltack.mark"] = mark
+	}
+	user := argument(d, "user")
+	if user == "" {
+		user = "valuer"
+	}
+	if err := r.Connect(argument(d, "session"), user, argument(d, "instance"), parameters); err != nil {
+		return describe(err)
+	}
+	return "connected"
+}
+
+// commandKill ends an endpoint or an instance.
+func (r script) commandKill(d *datadriven.TestData) string {
+	if name := argument(d, "endpoint"); name != "" {
+		r.KillEndpoint(name)
+	}
+	if name := argument(d, "instance"); name != "" {
+		r.KillInstance(name)
+	}
+	return ""
+}
+
+// commandAwaitRows waits until every endpoint holds the primary's rows.
+func (r script) commandAwaitRows(*datadriven.TestData) string {
+	want := r.rows(r.Primary())
+	for _, name := range r.Endpoints() {
+		r.Until("rows on "+name, func() bool { return r.rows(name) == want })
+	}
+	return ""
+}
+
+func argument(d *datadriven.TestData, key string) string {
+	for _, a := range d.CmdArgs {
+		if a.Key == key && len(a.Vals) > 0 {
+			return a.Vals[0]
+		}
+	}
+	return ""
+}
+
+// exec runs one statement a line and returns one line of result each.
+func (r script) exec(session, input string) string {
+	conn := r.Sessions[session]
+	var lines []string
+	for _, sql := range strings.Split(input, "\n") {
+		ctx, cancel := context.WithTimeout(context.Background(), rig.Patience)
+		rows, err := conn.Query(ctx, sql)
+		if err != nil {
+			lines = append(lines, describe(err))
+			cancel()
+			continue
+		}
+		var values []string
+		for rows.Next() {
+			v, err := rows.Values()
+			if err != nil {
+				break
+			}
+			values = append(values, fmt.Sprint(v...))
+		}
+		if rows.Err() != nil {
+			lines = append(lines, describe(rows.Err()))
+		} else {
+			lines = append(lines, strings.TrimSpace(rows.CommandTag().String()+" "+strings.Join(values, " ")))
+		}
+		cancel()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// describe returns an error without what differs from run to run.
+func describe(err error) string {
+	var e *pgconn.PgError
+	if !errors.As(err, &e) {
+		return "connection failed"
+	}
+	code, _, _ := strings.Cut(e.Message, ":")
+	text := e.Severity + " " + e.Code
+	if strings.HasPrefix(code, "AT") {
+		text += " " + code
+	}
+	if e.Hint != "" {
+		text += " with a time to come back"
+	}
+	return text
+}
+
+// rows returns the rows and the submission keys that an endpoint holds.
+func (r script) rows(name string) string {
+	var found endpoint.Rows
+	if err := r.Get(name, "/rows", &found); err != nil {
+		return "no answer from " + name
+	}
+	var lines []string
+	for key, cell := range found.Rows {
+		lines = append(lines, key+" = "+cell.Value+"\n")
+	}
+	for key := range found.Submissions {
+		lines = append(lines, "submission "+key+"\n")
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, "")
+}
