Add the stand-ins of the platform and the endpoints

Cause: every later part needs something to run against. The platform stand-in serves the key-value calls, leases, watches and the instance list with their faults; the endpoint speaks the PostgreSQL protocol, simple and extended, and replicates its log with terms, fences and promotion.

Ruled out: cutting a replica's tail as soon as a push of a new term matches before it. The tail may hold entries that a majority acknowledged, so it is cut only where it conflicts, and the new term counts only once everything visible is part of its log. Raising a primary's own fence when it learns of a higher term was ruled out too, because it would refuse the fence that follows.

--- /dev/null
+++ b/standin/cmd/endpoint.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"anviltack/standin/endpoint"
+)
+
+type endpointCmd struct {
+	Name        string           `required:"" help:"Name of the endpoint."`
+	Group       string           `required:"" help:"Name of its group."`
+	Listen      netip.AddrPort   `required:"" help:"Address for statements."`
+	Control     netip.AddrPort   `required:"" help:"Address for replication and fault switches."`
+	Peers       []netip.AddrPort `help:"Control addresses of the other members."`
+	Primary     bool             `help:"Start as the primary of the first term."`
+	Slots       int              `default:"3" help:"Statements that run at once."`
+	Connections int              `default:"20" help:"Connections accepted in all."`
+	Connect     time.Duration    `default:"10ms" help:"Time to accept a connection."`
+	Work        time.Duration    `default:"500us" help:"Time a statement holds its slot."`
+	Delay       time.Duration    `default:"1500us" help:"One-way time to each peer."`
+	Lag         time.Duration    `default:"5ms" help:"Time from received to applied on a replica."`
+}
+
+// Run serves until the process is told to stop.
+func (c *endpointCmd) Run(ctx context.Context) error {
+	options := []endpoint.Option{
+		endpoint.WithPeers(c.Peers...),
+		endpoint.WithSlots(c.Slots),
+		endpoint.WithConnections(c.Connections),
+		endpoint.WithConnect(c.Connect),
+		endpoint.WithWork(c.Work),
+		endpoint.WithDelay(c.Delay),
+		endpoint.WithLag(c.Lag),
+	}
+	if c.Primary {
+		options = append(options, endpoint.WithPrimary())
+	}
+	return endpoint.New(c.Listen, c.Control, options...).Run(ctx)
+}
--- /dev/null
+++ b/standin/endpoint/execute.go
@@ -0,0 +1,202 @@
+package endpoint
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"anviltack/core"
+)
+
+// result is the answer to one statement.
+type result struct {
+	tag  string
+	rows [][]string
+}
+
+// runStatement executes one statement in the session's transaction.
+func (s *session) runStatement(ctx context.Context, st statement, values []string) (result, error) {
+	if s.transaction.status == statusFailed && st.verb != verbRollback && st.verb != verbCommit {
+		return result{}, newSQLError(stateFailed, "current transaction is aborted, commands ignored until end of transaction block")
+	}
+	if st.isControl() {
+		return s.runControl(st, values)
+	}
+	e := s.endpoint
+	if !e.waitSlot(ctx) {
+		return result{}, newSQLError(stateCancelled, "canceling statement due to user request")
+	}
+	defer e.releaseSlot()
+	s.ran = true
+	s.used.Store(true)
+	e.count(st)
+	time.Sleep(e.work)
+	if e.frozen.wait(ctx) != nil {
+		return result{}, newSQLError(stateCancelled, "canceling statement due to user request")
+	}
+	switch st.verb {
+	case verbInsert, verbSubmit, verbUpdate, verbDelete:
+		return s.runWrite(ctx, st, values)
+	case verbSelect, verbCount, verbOne, verbSleep:
+		return s.runRead(ctx, st, values)
+	}
+	return s.runBlock(ctx, st)
+}
+
+func (s *session) runControl(st statement, values []string) (result, error) {
+	e := s.endpoint
+	var status core.Status
+	var err error
+	switch st.verb {
+	case verbStatus:
+		e.mu.Lock()
+		status = e.status()
+		e.mu.Unlock()
+	default:
+		var term uint64
+		if term, err = strconv.ParseUint(values[0], 10, 64); err != nil {
+			return result{}, newSQLError(stateParameters, "a term is a number")
+		}
+		if st.verb == verbFence {
+			status, err = e.raiseFence(term)
+		} else {
+			status, err = e.promote(term)
+		}
+	}
+	if err != nil {
+		return result{}, err
+	}
+	return result{tag: st.tag, rows: [][]string{{
+		string(status.Role),
+		decimal(status.Fence),
+		decimal(status.Term),
+		decimal(status.Received),
+		decimal(status.Applied),
+		decimal(status.Last.Term),
+		decimal(status.Last.Position),
+	}}}, nil
+}
+
+func decimal(n uint64) string { return strconv.FormatUint(n, 10) }
+
+func (s *session) runWrite(ctx context.Context, st statement, values []string) (result, error) {
+	if err := s.checkWritable(); err != nil {
+		return result{}, err
+	}
+	change := Change{Table: TableItem}
+	switch st.verb {
+	case verbInsert:
+		change.Key, change.Value = values[0], values[1]
+	case verbUpdate:
+		change.Value, change.Key = values[0], values[1]
+	case verbDelete:
+		change.Key, change.Delete = values[0], true
+	case verbSubmit:
+		change.Table, change.Key = TableSubmission, values[0]
+	}
+	r := row{table: change.Table, key: change.Key}
+	if err := s.lock(ctx, r); err != nil {
+		return result{}, err
+	}
+	_, found := s.look(r)
+	switch {
+	case st.verb == verbInsert && found:
+		return result{}, newSQLError(stateDuplicate, "duplicate key value violates unique constraint \"item_pkey\"")
+	case st.verb == verbSubmit && found:
+		return result{tag: "INSERT 0 0"}, nil
+	case st.verb == verbUpdate && !found:
+		return result{tag: "UPDATE 0"}, nil
+	case st.verb == verbDelete && !found:
+		return result{tag: "DELETE 0"}, nil
+	}
+	s.transaction.add(change)
+	return result{tag: st.tag}, nil
+}
+
+func (s *session) runRead(ctx context.Context, st statement, values []string) (result, error) {
+	switch st.verb {
+	case verbSelect:
+		value, found := s.look(row{table: TableItem, key: values[0]})
+		if !found {
+			return result{tag: "SELECT 0"}, nil
+		}
+		return result{tag: st.tag, rows: [][]string{{value}}}, nil
+	case verbCount:
+		return result{tag: st.tag, rows: [][]string{{strconv.Itoa(s.countItems())}}}, nil
+	case verbSleep:
+		seconds, err := strconv.ParseFloat(values[0], 64)
+		if err != nil {
+			return result{}, newSQLError(stateParameters, "a sleep is a number of seconds")
+		}
+		if wait(ctx, nil, time.Duration(seconds*float64(time.Second))) {
+			return result{tag: st.tag, rows: [][]string{{""}}}, nil
+		}
+		return result{}, newSQLError(stateCancelled, "canceling statement due to user request")
+	}
+	return result{tag: st.tag, rows: [][]string{{"1"}}}, nil
+}
+
+// countItems counts the items as the session's transaction sees them.
+func (s *session) countItems() int {
+	e := s.endpoint
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := e.tables.items
+	for r, c := range s.transaction.overlay {
+		if r.table != TableItem {
+			continue
+		}
+		_, found := e.tables.cells[r]
+		switch {
+		case found && c.Delete:
+			n--
+		case !found && !c.Delete:
+			n++
+		}
+	}
+	return n
+}
+
+// runBlock executes statements that steer the transaction or the session.
+func (s *session) runBlock(ctx context.Context, st statement) (result, error) {
+	t := &s.transaction
+	switch st.verb {
+	case verbBegin, verbBeginRead:
+		t.status = statusActive
+		t.readOnly = t.readOnly || st.verb == verbBeginRead
+	case verbRead:
+		t.readOnly = true
+	case verbCommit:
+		if t.status == statusFailed {
+			s.rollback()
+			return result{tag: "ROLLBACK"}, nil
+		}
+		if err := s.commit(ctx); err != nil {
+			return result{}, err
+		}
+	case verbRollback:
+		s.rollback()
+	case verbDiscard:
+		if t.status != statusIdle {
+			return result{}, newSQLError(stateActive, "DISCARD ALL cannot run inside a transaction block")
+		}
+		s.forget()
+	case verbDeallocate:
+		s.forget()
+	}
+	return result{tag: st.tag}, nil
+}
+
+// waitSlot takes a slot, or returns false when the context ends.
+func (e *Endpoint) waitSlot(ctx context.Context) bool {
+	select {
+	case e.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Endpoint) takeSlot() { e.slots <- struct{}{} }
+
+func (e *Endpoint) releaseSlot() { <-e.slots }
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,137 @@
+// Package platform stands in for the platform: a key-value service with
+// compare-and-swap, leases and watches, and a list of live instances, by the
+// published HTTP API of Consul.
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Platform holds everything in memory.
+type Platform struct {
+	listen  netip.AddrPort
+	control netip.AddrPort
+
+	mu sync.Mutex
+	// index counts changes; it starts at 1 as Consul's does.
+	index uint64
+	// changed is closed and replaced with each change.
+	changed  chan struct{}
+	pairs    map[string]*pair
+	leases   map[string]*lease
+	services []registration
+	// listed is the instance list as callers see it, behind services by the
+	// list lag.
+	listed    []registration
+	listIndex uint64
+	fault     Fault
+	stats     Stats
+}
+
+// pair is one key with its value.
+type pair struct {
+	value       []byte
+	createIndex uint64
+	modifyIndex uint64
+	// session is the lease that holds the key, empty when free.
+	session string
+}
+
+// lease is a session with a TTL; keys it holds are released when it lapses.
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// New returns a platform that answers callers at listen and takes faults at
+// control.
+func New(listen, control netip.AddrPort) *Platform {
+	return &Platform{
+		listen:    listen,
+		control:   control,
+		index:     1,
+		listIndex: 1,
+		changed:   make(chan struct{}),
+		pairs:     make(map[string]*pair),
+		leases:    make(map[string]*lease),
+		stats:     Stats{Calls: make(map[string]int)},
+	}
+}
+
+// Run serves until the context ends.
+func (p *Platform) Run(ctx context.Context) error {
+	api, err := net.Listen("tcp", p.listen.String())
+	if err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	control, err := net.Listen("tcp", p.control.String())
+	if err != nil {
+		return errors.Join(fmt.Errorf("platform: %w", err), api.Close())
+	}
+	return p.Serve(ctx, api, control)
+}
+
+// Serve serves on open listeners until the context ends; it closes both.
+func (p *Platform) Serve(ctx context.Context, api, control net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	base := func(net.Listener) context.Context { return ctx }
+	servers := []*http.Server{
+		{Handler: p.Handler(), BaseContext: base},
+		{Handler: p.controlHandler(), BaseContext: base},
+	}
+	failed := make(chan error, len(servers))
+	var running sync.WaitGroup
+	for i, l := range []net.Listener{api, control} {
+		running.Go(func() { failed <- servers[i].Serve(l) })
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	cancel()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	running.Wait()
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("platform: %w", err)
+	}
+	return nil
+}
+
+// bump counts a change and wakes the watches; p.mu is held.
+func (p *Platform) bump() uint64 {
+	p.index++
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return p.index
+}
+
+// lapse ends the leases whose time is over; p.mu is held.
+func (p *Platform) lapse(now time.Time) {
+	for id, l := range p.leases {
+		if now.After(l.expires) {
+			p.destroy(id)
+		}
+	}
+}
+
+// destroy ends a lease and releases its keys; p.mu is held.
+func (p *Platform) destroy(id string) {
+	delete(p.leases, id)
+	for _, k := range p.pairs {
+		if k.session == id {
+			k.session = ""
+			k.modifyIndex = p.bump()
+		}
+	}
+}
--- /dev/null
+++ b/standin/platform/platform_test.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+)
+
+// random matches the identifiers of leases.
+var random = regexp.MustCompile(`[A-Z2-7]{26}`)
+
+// bench is a platform and the leases that were taken, by the order of creation.
+type bench struct {
+	is       *is.I
+	platform *Platform
+	server   *httptest.Server
+	leases   []string
+}
+
+func (b *bench) call(method, url, body string) string {
+	for i, id := range b.leases {
+		url = strings.ReplaceAll(url, fmt.Sprintf("lease%d", i+1), id)
+	}
+	request, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
+	b.is.NoErr(err)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return "no answer"
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	b.is.NoErr(err)
+	text := string(answer)
+	for _, id := range random.FindAllString(text, -1) {
+		if !strings.Contains(strings.Join(b.leases, " "), id) {
+			b.leases = append(b.leases, id)
+		}
+	}
+	for i, id := range b.leases {
+		text = strings.ReplaceAll(text, id, fmt.Sprintf("lease%d", i+1))
+	}
+	index := response.Header.Get(indexHeader)
+	return fmt.Sprintf("%d %s\n%s", response.StatusCode, index, text)
+}
+
+func (b *bench) run(d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "fault":
+		w := httptest.NewRecorder()
+		b.platform.controlHandler().ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/fault", strings.NewReader(d.Input)))
+		return fmt.Sprint(w.Code)
+	case "lapse":
+		b.platform.mu.Lock()
+		defer b.platform.mu.Unlock()
+		b.platform.lapse(time.Now().Add(time.Hour))
+		return ""
+	}
+	return b.call(d.Cmd, b.server.URL+d.CmdArgs[0].String(), d.Input)
+}
+
+func TestPlatform(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		p := New(netip.AddrPort{}, netip.AddrPort{})
+		b := &bench{is: is.New(t), platform: p, server: httptest.NewServer(p.Handler())}
+		defer b.server.Close()
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string { return b.run(d) })
+	})
+}
+
+func TestWatchWakes(t *testing.T) {
+	is := is.New(t)
+	p := New(netip.AddrPort{}, netip.AddrPort{})
+	server := httptest.NewServer(p.Handler())
+	defer server.Close()
+	b := &bench{is: is, platform: p, server: server}
+	answer := make(chan string, 1)
+	go func() { answer <- b.call(http.MethodGet, server.URL+"/v1/kv/k?index=1&wait=60s", "") }()
+	is.Equal(b.call(http.MethodPut, server.URL+"/v1/kv/k", "v"), "200 \ntrue\n")
+	is.True(strings.HasPrefix(<-answer, "200 2"))
+}
