Keep the configuration as numbered versions with patches

Operators change the configuration only by merge patches against a numbered version. core/patch holds the document with its history, the check that names every fault at once, the submission that settles lost answers by reading back and swapping again, the diff between versions and the monotone adopter.

Undoing versions by keeping whole configurations was ruled out: an entry keeps the patch and the way back instead, which for one changed field of 1500 groups is some hundred bytes.

--- /dev/null
+++ b/core/patch/diff.go
@@ -0,0 +1,139 @@
+package patch
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+)
+
+// Change is one value that differs between two versions.
+type Change struct {
+	// Path leads to the value, names joined by dots.
+	Path string `json:"path"`
+	// From is the value before; it is empty when the value was added.
+	From json.RawMessage `json:"from,omitempty"`
+	// To is the value after; it is empty when the value was removed.
+	To json.RawMessage `json:"to,omitempty"`
+}
+
+// hidden stands in a change where a secret stood.
+const hidden = `"(secret)"`
+
+// Diff returns the changes that lead from one version to another. Secrets are
+// hidden.
+func (d Document) Diff(from, to uint64) ([]Change, error) {
+	a, err := d.At(from)
+	if err != nil {
+		return nil, err
+	}
+	b, err := d.At(to)
+	if err != nil {
+		return nil, err
+	}
+	x, err := tree(a)
+	if err != nil {
+		return nil, err
+	}
+	y, err := tree(b)
+	if err != nil {
+		return nil, err
+	}
+	var f differ
+	f.compare("", x, y)
+	return f.changes, f.err
+}
+
+func tree(c Config) (any, error) {
+	b, err := json.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("patch: cannot encode the configuration: %w", err)
+	}
+	var v any
+	if err := json.Unmarshal(b, &v); err != nil {
+		return nil, fmt.Errorf("patch: cannot decode the configuration: %w", err)
+	}
+	return v, nil
+}
+
+type differ struct {
+	changes []Change
+	err     error
+}
+
+func (f *differ) compare(path string, a, b any) {
+	if reflect.DeepEqual(a, b) {
+		return
+	}
+	x, xok := a.(map[string]any)
+	y, yok := b.(map[string]any)
+	if !xok || !yok {
+		f.changes = append(f.changes, Change{Path: path, From: f.raw(a), To: f.raw(b)})
+		return
+	}
+	names := make(map[string]bool, len(x)+len(y))
+	for n := range x {
+		names[n] = true
+	}
+	for n := range y {
+		names[n] = true
+	}
+	for _, n := range sortedNames(names) {
+		f.compare(join(path, n), hide(n, x[n]), hide(n, y[n]))
+	}
+}
+
+// raw encodes a value of a change with its secrets hidden.
+func (f *differ) raw(v any) json.RawMessage {
+	if v == nil {
+		return nil
+	}
+	b, err := json.Marshal(withoutSecrets(v))
+	if err != nil {
+		f.err = fmt.Errorf("patch: cannot encode a change: %w", err)
+	}
+	return b
+}
+
+func hide(name string, v any) any {
+	if name != secretName {
+		return v
+	}
+	if s, ok := v.(string); ok {
+		return secret(s)
+	}
+	return v
+}
+
+// secret is a value that is compared but never shown.
+type secret string
+
+// MarshalJSON writes a placeholder.
+func (secret) MarshalJSON() ([]byte, error) { return []byte(hidden), nil }
+
+// secretName is the name under which a caller's verifier stands.
+const secretName = "secret"
+
+func withoutSecrets(v any) any {
+	object, ok := v.(map[string]any)
+	if !ok {
+		return v
+	}
+	shown := make(map[string]any, len(object))
+	for n, e := range object {
+		shown[n] = withoutSecrets(hide(n, e))
+	}
+	return shown
+}
+
+// HideSecrets returns JSON with every secret replaced by a placeholder.
+func HideSecrets(b json.RawMessage) (json.RawMessage, error) {
+	var v any
+	if err := json.Unmarshal(b, &v); err != nil {
+		return nil, fmt.Errorf("patch: cannot decode: %w", err)
+	}
+	shown, err := json.Marshal(withoutSecrets(v))
+	if err != nil {
+		return nil, fmt.Errorf("patch: cannot encode: %w", err)
+	}
+	return shown, nil
+}
--- /dev/null
+++ b/core/patch/document.go
@@ -0,0 +1,257 @@
+package patch
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+)
+
+// Key is where the platform holds the document.
+const Key = "anviltack/config"
+
+// Document is the configuration with its history, as the platform holds it.
+type Document struct {
+	// Version numbers the configuration; each accepted patch raises it by one.
+	// Zero means that no patch was accepted yet.
+	Version uint64 `json:"version"`
+	Config  Config `json:"config"`
+	// History ends with the entry of Version and is without gaps.
+	History []Entry `json:"history"`
+	// Lowest is the lowest version in History; older entries were trimmed.
+	Lowest uint64 `json:"lowest"`
+	// Trimmed counts the entries that History lost for size.
+	Trimmed uint64 `json:"trimmed"`
+}
+
+// Entry records one accepted patch.
+type Entry struct {
+	// Version is the version that the patch made; Base is Version - 1.
+	Version uint64    `json:"version"`
+	Base    uint64    `json:"base"`
+	ID      string    `json:"id"`
+	Who     string    `json:"who"`
+	When    time.Time `json:"when"`
+	Why     string    `json:"why"`
+	// Sum is the checksum of the configuration of Version.
+	Sum string `json:"sum"`
+	// Patch leads from Base to Version; it is empty once trimmed for size.
+	Patch json.RawMessage `json:"patch,omitempty"`
+	// Undo leads from Version back to Base; it is empty when Patch is.
+	Undo json.RawMessage `json:"undo,omitempty"`
+}
+
+// Request is a patch as an operator submits it.
+type Request struct {
+	// ID makes a submission idempotent: one ID is accepted at most once.
+	ID string `json:"id"`
+	// Base is the version that the patch was written against.
+	Base uint64 `json:"base"`
+	Who  string `json:"who"`
+	Why  string `json:"why"`
+	// Patch is a JSON merge patch (RFC 7386) of the configuration.
+	Patch json.RawMessage `json:"patch"`
+}
+
+// The bounds of a request.
+const (
+	maxIDBytes    = 64
+	maxWhoBytes   = 128
+	maxWhyBytes   = 512
+	maxPatchBytes = 512 << 10
+)
+
+func (r Request) check() []Fault {
+	var k checker
+	k.text("id", r.ID, maxIDBytes)
+	k.text("who", r.Who, maxWhoBytes)
+	k.text("why", r.Why, maxWhyBytes)
+	if len(r.Patch) > maxPatchBytes {
+		k.fault("patch", fmt.Sprintf("%d bytes", len(r.Patch)), fmt.Sprintf("at most %d bytes", maxPatchBytes))
+	}
+	var object map[string]json.RawMessage
+	if err := json.Unmarshal(r.Patch, &object); err != nil || object == nil {
+		k.fault("patch", "not a JSON object", "a JSON merge patch (RFC 7386) of the configuration")
+	}
+	return k.faults
+}
+
+func (k *checker) text(path, s string, most int) {
+	if s == "" || len(s) > most {
+		k.fault(path, fmt.Sprintf("%d bytes", len(s)), fmt.Sprintf("1 to %d bytes", most))
+	}
+}
+
+// Parse reads a document that Encode wrote. Unknown names are passed over, so
+// that an instance can adopt what a newer release wrote.
+func Parse(b []byte) (Document, error) {
+	var d Document
+	if err := json.Unmarshal(b, &d); err != nil {
+		return Document{}, fmt.Errorf("patch: bad document: %w", err)
+	}
+	d.Config.normalize()
+	return d, nil
+}
+
+// Encode writes the document as JSON.
+func (d Document) Encode() ([]byte, error) {
+	b, err := json.Marshal(d)
+	if err != nil {
+		return nil, fmt.Errorf("patch: cannot encode the document: %w", err)
+	}
+	return b, nil
+}
+
+// Entry returns the history's entry with the id.
+func (d Document) Entry(id string) (Entry, bool) {
+	i := slices.IndexFunc(d.History, func(e Entry) bool { return e.ID == id })
+	if i < 0 {
+		return Entry{}, false
+	}
+	return d.History[i], true
+}
+
+// Since returns the entries after a version, as far as the history has them.
+func (d Document) Since(version uint64) []Entry {
+	i := slices.IndexFunc(d.History, func(e Entry) bool { return e.Version > version })
+	if i < 0 {
+		return nil
+	}
+	return d.History[i:]
+}
+
+// Brief returns the document without its history but for the newest entry.
+func (d Document) Brief() Document {
+	if len(d.History) > 1 {
+		dropped := len(d.History) - 1
+		d.History = d.History[dropped:]
+		d.Lowest = d.History[0].Version
+		d.Trimmed += uint64(dropped)
+	}
+	return d
+}
+
+// Apply returns the document that the request leads to. The document d itself
+// is not changed. A request that was accepted before returns d as it is.
+func (d Document) Apply(r Request, now time.Time) (Document, error) {
+	if faults := r.check(); len(faults) > 0 {
+		return Document{}, &InvalidError{Faults: faults}
+	}
+	if e, ok := d.Entry(r.ID); ok {
+		if !e.isOf(r) {
+			return Document{}, &InvalidError{Faults: []Fault{{
+				Path: "id", Problem: fmt.Sprintf("version %d has this id and another patch", e.Version), Allowed: "an id of its own",
+			}}}
+		}
+		return d, nil
+	}
+	if r.Base != d.Version {
+		return Document{}, &ConflictError{Base: r.Base, Version: d.Version, Since: d.Since(r.Base)}
+	}
+	old, next, err := d.Config.merge(r.Patch)
+	if err != nil {
+		return Document{}, err
+	}
+	entry := Entry{
+		Version: d.Version + 1, Base: d.Version, ID: r.ID, Who: r.Who, When: now.UTC(), Why: r.Why, Patch: r.Patch,
+	}
+	return d.append(entry, old, next)
+}
+
+// isOf reports whether the entry records the request, as far as can be told
+// once the entry's patch is trimmed.
+func (e Entry) isOf(r Request) bool {
+	if e.Base != r.Base {
+		return false
+	}
+	return len(e.Patch) == 0 || jsonpatch.Equal(e.Patch, r.Patch)
+}
+
+func (d Document) append(e Entry, old, next Config) (Document, error) {
+	before, err := json.Marshal(old)
+	if err != nil {
+		return Document{}, fmt.Errorf("patch: cannot encode the configuration: %w", err)
+	}
+	after, err := json.Marshal(next)
+	if err != nil {
+		return Document{}, fmt.Errorf("patch: cannot encode the configuration: %w", err)
+	}
+	e.Undo, err = jsonpatch.CreateMergePatch(after, before)
+	if err != nil {
+		return Document{}, fmt.Errorf("patch: cannot derive the way back: %w", err)
+	}
+	if string(e.Undo) == "{}" {
+		return Document{}, &InvalidError{Faults: []Fault{{Path: "patch", Problem: "changes nothing", Allowed: "a change"}}}
+	}
+	e.Sum = checksum(after)
+	result := Document{
+		Version: e.Version, Config: next, Trimmed: d.Trimmed,
+		History: append(slices.Clone(d.History), e),
+	}
+	if err := result.trim(len(after)); err != nil {
+		return Document{}, err
+	}
+	return result, nil
+}
+
+// merge returns the normalized configuration before and after the merge patch.
+func (c Config) merge(p json.RawMessage) (old, next Config, err error) {
+	c.normalize()
+	before, err := json.Marshal(c)
+	if err != nil {
+		return c, next, fmt.Errorf("patch: cannot encode the configuration: %w", err)
+	}
+	after, err := jsonpatch.MergePatch(before, p)
+	if err != nil {
+		return c, next, &InvalidError{Faults: []Fault{{Path: "patch", Problem: err.Error(), Allowed: "a JSON merge patch (RFC 7386)"}}}
+	}
+	next, faults := Validate(after)
+	if len(faults) > 0 {
+		return c, next, &InvalidError{Faults: faults}
+	}
+	return c, next, nil
+}
+
+func checksum(b []byte) string {
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:16])
+}
+
+// errGap tells that an entry does not follow on a document.
+var errGap = errors.New("patch: the entry does not follow on the version held")
+
+// Follow returns the document after the entries that a peer handed on. It fails
+// when they do not follow on d or lead to another configuration than recorded.
+func (d Document) Follow(entries []Entry) (Document, error) {
+	for _, e := range entries {
+		if e.Version <= d.Version {
+			continue
+		}
+		if e.Base != d.Version || len(e.Patch) == 0 {
+			return Document{}, errGap
+		}
+		before, err := json.Marshal(d.Config)
+		if err != nil {
+			return Document{}, fmt.Errorf("patch: cannot encode the configuration: %w", err)
+		}
+		after, err := jsonpatch.MergePatch(before, e.Patch)
+		if err != nil {
+			return Document{}, fmt.Errorf("patch: cannot follow to version %d: %w", e.Version, err)
+		}
+		next, _ := Decode(after)
+		b, err := json.Marshal(next)
+		if err != nil {
+			return Document{}, fmt.Errorf("patch: cannot encode the configuration: %w", err)
+		}
+		if sum := checksum(b); sum != e.Sum {
+			return Document{}, fmt.Errorf("patch: version %d has checksum %s, the entry says %s", e.Version, sum, e.Sum)
+		}
+		d = Document{Version: e.Version, Config: next, History: []Entry{e}, Lowest: e.Version, Trimmed: e.Version - 1}
+	}
+	return d, nil
+}
--- /dev/null
+++ b/core/patch/document_test.go
@@ -0,0 +1,235 @@
+package patch
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+const secretText = "SCRAM-SHA-256$4096:c2FsdA==$MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY=:MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY="
+
+func TestPatches(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var d Document
+		versions := []Document{d}
+		datadriven.RunTest(t, path, func(t *testing.T, c *datadriven.TestData) string {
+			var id, who, why string
+			var base, from, to, skip uint64
+			c.MaybeScanArgs(t, "id", &id)
+			c.MaybeScanArgs(t, "who", &who)
+			c.MaybeScanArgs(t, "why", &why)
+			c.MaybeScanArgs(t, "base", &base)
+			c.MaybeScanArgs(t, "from", &from)
+			c.MaybeScanArgs(t, "to", &to)
+			c.MaybeScanArgs(t, "skip", &skip)
+			switch c.Cmd {
+			case "apply":
+				next, err := d.Apply(Request{ID: id, Base: base, Who: who, Why: why, Patch: json.RawMessage(c.Input)}, start)
+				if err != nil {
+					return describe(err)
+				}
+				if next.Version > d.Version {
+					versions = append(versions, next)
+				}
+				d = next
+				return fmt.Sprintf("version %d\n", d.Version)
+			case "diff":
+				changes, err := d.Diff(from, to)
+				if err != nil {
+					return err.Error() + "\n"
+				}
+				return lines(changes)
+			case "settle":
+				return lines([]Settlement{d.Settle(id, base)})
+			case "history":
+				var b strings.Builder
+				for _, e := range d.History {
+					fmt.Fprintf(&b, "%d from %d by %s: %s %s\n", e.Version, e.Base, e.Who, e.ID, e.Why)
+				}
+				return b.String()
+			case "follow":
+				got, err := versions[from].Follow(d.Since(from + skip))
+				if err != nil {
+					return err.Error() + "\n"
+				}
+				same := text(t, got.Config) == text(t, d.Config)
+				return fmt.Sprintf("version %d, same configuration: %v\n", got.Version, same)
+			}
+			return "unknown command\n"
+		})
+	})
+}
+
+func describe(err error) string {
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		return fmt.Sprintf("%d %v, %d entries since\n", conflict.Code(), err, len(conflict.Since))
+	}
+	return err.Error() + "\n"
+}
+
+func lines[T any](values []T) string {
+	var b strings.Builder
+	for _, v := range values {
+		line, _ := json.Marshal(v)
+		b.Write(line)
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+func text(t testing.TB, v any) string {
+	b, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+func endpointPatch(group, n int, field string, value any) json.RawMessage {
+	p, _ := json.Marshal(map[string]any{"groups": map[string]any{
+		fmt.Sprintf("g%d", group): map[string]any{"endpoints": map[string]any{
+			fmt.Sprintf("g%d-e%d", group, n): map[string]any{field: value},
+		}},
+	}})
+	return p
+}
+
+func firstPatch(groups int) json.RawMessage {
+	c := Config{
+		Groups: map[coreGroup]Group{}, Databases: map[coreDatabase]Database{}, Callers: map[coreCaller]Caller{},
+		Limits: Limits{Deadline: Duration(time.Second), TransactionIdle: Duration(time.Second), Queue: 10},
+	}
+	for g := range groups {
+		e := map[coreEndpoint]Endpoint{}
+		for n := range 3 {
+			e[coreEndpoint(fmt.Sprintf("g%d-e%d", g, n))] = Endpoint{
+				Address: address(g*3 + n + 1), DataCentre: "a", Slots: 3, Connections: 20,
+			}
+		}
+		name := coreGroup(fmt.Sprintf("g%d", g))
+		c.Groups[name] = Group{Endpoints: e}
+		c.Databases[coreDatabase("db-"+string(name))] = Database{Group: name}
+	}
+	b, _ := json.Marshal(c)
+	return b
+}
+
+// TestWayBack checks over random patches that the history leads back to every
+// version that it claims to have, and stays within its bounds.
+func TestWayBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		d, err := Document{}.Apply(Request{ID: "0", Who: "w", Why: "y", Patch: firstPatch(3)}, start)
+		is.NoErr(err)
+		var d0 Document
+		d0.Config.normalize()
+		versions := []Config{d0.Config, d.Config}
+		for i := range rapid.IntRange(1, 20).Draw(t, "patches") {
+			var p json.RawMessage
+			g, n := rapid.IntRange(0, 2).Draw(t, "group"), rapid.IntRange(0, 2).Draw(t, "endpoint")
+			switch rapid.IntRange(0, 3).Draw(t, "change") {
+			case 0:
+				p = endpointPatch(g, n, "slots", rapid.IntRange(0, 20).Draw(t, "slots"))
+			case 1:
+				p = endpointPatch(g, n, "leaving", rapid.SampledFrom([]any{true, false, nil}).Draw(t, "leaving"))
+			case 2:
+				p = json.RawMessage(fmt.Sprintf(`{"databases":{"d%d":{"group":"g%d","kinds":{"k":{"age":"%ds"}}}}}`, g, n, i+1))
+			case 3:
+				p = json.RawMessage(fmt.Sprintf(`{"databases":{"d%d":null},"callers":{"c":{"secret":%q,"databases":["db-g%d"]}}}`, g, secretText, n))
+			}
+			next, err := d.Apply(Request{ID: fmt.Sprint(i + 1), Base: d.Version, Who: "w", Why: "y", Patch: p}, start)
+			if err != nil {
+				continue
+			}
+			d = next
+			versions = append(versions, d.Config)
+		}
+		for v := range versions {
+			c, err := d.At(uint64(v))
+			is.NoErr(err)
+			is.Equal(c, versions[v])
+		}
+		followed, err := Document{Version: 1, Config: versions[1]}.Follow(d.History)
+		is.NoErr(err)
+		is.Equal(followed.Config, d.Config)
+	})
+}
+
+// TestHistoryBound makes thousands of versions of a configuration near the size
+// that is allowed.
+func TestHistoryBound(t *testing.T) {
+	for _, groups := range []int{3, 1500} {
+		t.Run(fmt.Sprintf("%d groups", groups), func(t *testing.T) {
+			is := is.New(t)
+			d, err := Document{}.Apply(Request{ID: "first", Who: "w", Why: "y", Patch: firstPatch(groups)}, start)
+			is.NoErr(err)
+			versions := 300
+			if groups > 100 {
+				versions = 4
+			}
+			for i := range versions {
+				r := Request{
+					ID: fmt.Sprint(i), Base: d.Version, Who: strings.Repeat("w", maxWhoBytes),
+					Why: strings.Repeat("y", maxWhyBytes), Patch: endpointPatch(i%groups, 1, "slots", 4+i%2+i),
+				}
+				d, err = d.Apply(r, start)
+				is.NoErr(err)
+			}
+			b, err := d.Encode()
+			is.NoErr(err)
+			is.True(len(b) <= maxDocumentBytes)
+			t.Logf("%d groups: document %d bytes, %d entries kept, %d trimmed", groups, len(b), len(d.History), d.Trimmed)
+			is.Equal(d.Trimmed+uint64(len(d.History)), d.Version)
+			is.Equal(d.Lowest, d.Trimmed+1)
+			is.Equal(d.Settle("0", 1).Outcome == OutcomeUnknown, d.Lowest > 2)
+			is.Equal(d.Settle("nobody", d.Version-1).Outcome, OutcomeRefused)
+			_, err = d.At(d.Version - 1)
+			is.NoErr(err)
+		})
+	}
+}
+
+func TestTooLarge(t *testing.T) {
+	is := is.New(t)
+	d := Document{Version: 1, History: []Entry{{Version: 1, ID: "a", Patch: json.RawMessage("{}")}}}
+	var large *TooLargeError
+	is.True(errors.As(d.trim(maxDocumentBytes-envelopeBytes), &large))
+	d = Document{Version: 1, History: []Entry{{Version: 1, ID: "a", Patch: json.RawMessage("{}")}}}
+	is.NoErr(d.trim(maxDocumentBytes - envelopeBytes - 1000))
+}
+
+// TestAdoption checks that no order of documents from any source lowers the
+// version in force.
+func TestAdoption(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		a := NewAdopter()
+		var top uint64
+		for range rapid.IntRange(1, 40).Draw(t, "offers") {
+			v := rapid.Uint64Range(0, 9).Draw(t, "version")
+			s := rapid.SampledFrom([]Source{SourcePlatform, SourcePeer, SourceOperator}).Draw(t, "source")
+			before := a.Held().Version
+			if rapid.Bool().Draw(t, "report") {
+				a.Report(v, s)
+				is.Equal(a.Held().Version, before)
+				top = max(top, v)
+				is.Equal(a.Missing() > 0, top > before)
+				continue
+			}
+			top = max(top, v)
+			verdict := a.Offer(Document{Version: v}, s)
+			is.Equal(verdict == VerdictAdopted, v > before)
+			is.Equal(a.Held().Version, max(before, v))
+		}
+	})
+}
--- /dev/null
+++ b/core/patch/submitter_test.go
@@ -0,0 +1,169 @@
+package patch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"anviltack/core"
+)
+
+type (
+	coreGroup    = core.Group
+	coreEndpoint = core.Endpoint
+	coreDatabase = core.Database
+	coreCaller   = core.Caller
+)
+
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), 5432)
+}
+
+var errLost = errors.New("answer lost")
+
+// store stands in for the platform's key. A swap may lose its answer, and a
+// lost one may take effect now, later or never.
+type store struct {
+	index uint64
+	value []byte
+	// late holds swaps that are still under way.
+	late []func()
+}
+
+func (s *store) swap(index uint64, value []byte) bool {
+	if index != s.index {
+		return false
+	}
+	s.index += 3
+	s.value = value
+	return true
+}
+
+// operator runs a submission step by step: each call of the platform waits for
+// its turn, so that the order of all calls is drawn by the test.
+type operator struct {
+	turn    chan bool
+	done    chan bool
+	id      string
+	version uint64
+	err     error
+}
+
+func (o *operator) run(s *store, fate func() int, attempts int) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	submitter := Submitter{
+		Get: func(context.Context) (Stored, error) {
+			<-o.turn
+			defer func() { o.done <- false }()
+			if fate() == 0 {
+				return Stored{}, errLost
+			}
+			return Stored{Index: s.index, Value: s.value}, nil
+		},
+		Swap: func(_ context.Context, index uint64, value []byte) (bool, error) {
+			<-o.turn
+			defer func() { o.done <- false }()
+			switch fate() {
+			case 0:
+				s.swap(index, value)
+				return false, errLost
+			case 1:
+				s.late = append(s.late, func() { s.swap(index, value) })
+				return false, errLost
+			case 2:
+				return false, errLost
+			}
+			return s.swap(index, value), nil
+		},
+		Wait: func(ctx context.Context, attempt int) error {
+			if attempt >= attempts {
+				stop()
+			}
+			return ctx.Err()
+		},
+	}
+	r := Request{ID: o.id, Who: o.id, Why: "race", Patch: firstPatch(1)}
+	_, o.version, o.err = submitter.Submit(ctx, r, start, 0)
+	<-o.turn
+	o.done <- true
+}
+
+// TestRace lets operators race on one version under lost and late swaps. At
+// most one patch makes it, and every operator who is told anything is told the
+// truth; asking by id later tells the others.
+func TestRace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		s := &store{}
+		attempts := rapid.IntRange(2, 12).Draw(t, "attempts")
+		fate := func() int { return rapid.IntRange(0, 6).Draw(t, "fate") }
+		var all, running []*operator
+		for i := range rapid.IntRange(1, 4).Draw(t, "operators") {
+			o := &operator{turn: make(chan bool), done: make(chan bool), id: fmt.Sprint("op", i)}
+			all = append(all, o)
+			running = append(running, o)
+			go o.run(s, fate, attempts)
+		}
+		for len(running) > 0 {
+			if len(s.late) > 0 && rapid.Bool().Draw(t, "land") {
+				s.late[0]()
+				s.late = s.late[1:]
+			}
+			i := rapid.IntRange(0, len(running)-1).Draw(t, "next")
+			running[i].turn <- true
+			if <-running[i].done {
+				running = append(running[:i], running[i+1:]...)
+			}
+		}
+		for _, land := range s.late {
+			land()
+		}
+		var d Document
+		if s.index > 0 {
+			var err error
+			d, err = Parse(s.value)
+			is.NoErr(err)
+		}
+		is.True(d.Version <= 1)
+		for _, o := range all {
+			_, in := d.Entry(o.id)
+			var conflict *ConflictError
+			var unknown *UnknownError
+			var unavailable *UnavailableError
+			switch {
+			case o.err == nil:
+				is.True(in)
+				is.Equal(o.version, uint64(1))
+			case errors.As(o.err, &conflict), errors.As(o.err, &unavailable):
+				is.True(!in)
+			case errors.As(o.err, &unknown):
+				outcome := d.Settle(o.id, 0).Outcome
+				is.Equal(outcome == OutcomeAccepted, in)
+			default:
+				t.Fatalf("unexpected error %v", o.err)
+			}
+		}
+	})
+}
+
+// TestRestoredPlatform checks that no patch builds on a document below the
+// version in force.
+func TestRestoredPlatform(t *testing.T) {
+	is := is.New(t)
+	s := &store{}
+	submitter := Submitter{
+		Get:  func(context.Context) (Stored, error) { return Stored{Index: s.index, Value: s.value}, nil },
+		Swap: func(_ context.Context, index uint64, value []byte) (bool, error) { return s.swap(index, value), nil },
+		Wait: func(context.Context, int) error { return context.DeadlineExceeded },
+	}
+	_, _, err := submitter.Submit(context.Background(), Request{ID: "a", Base: 0, Who: "w", Why: "y", Patch: firstPatch(1)}, start, 7)
+	var unavailable *UnavailableError
+	is.True(errors.As(err, &unavailable))
+	is.Equal(s.index, uint64(0))
+}
