Speak to the platform by Consul's HTTP interface

io/platform gives the key-value service as four functions and the list of instances as three. A failed change is told apart by whether it may have taken effect: without a connection, or with a 4xx answer, it did not happen; after a connection was had its outcome is unknown, and it is not sent to another address. Treating every 5xx as not happened was ruled out, because an answer of a proxy before the service may follow on a change that took effect.

--- /dev/null
+++ b/io/platform/call.go
@@ -0,0 +1,115 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strconv"
+	"time"
+)
+
+// call is one request as it goes to any of the addresses.
+type call struct {
+	name    string
+	method  string
+	path    string
+	body    []byte
+	timeout time.Duration
+}
+
+// answer is the answer to a call; only 200 and 404 are answers.
+type answer struct {
+	status int
+	index  uint64
+	body   []byte
+}
+
+var errStatus = errors.New("unexpected status")
+
+// do tries the addresses in turn, beginning with the one that answered last. A
+// call that changes something goes to another address only when it is certain
+// that it did not happen at the first.
+func (c *Client) do(ctx context.Context, r call) (answer, error) {
+	var last *Error
+	first := int(c.current.Load())
+	for i := range c.addresses {
+		n := (first + i) % len(c.addresses)
+		a, err := c.try(ctx, c.addresses[n], r)
+		if err == nil {
+			c.current.Store(int64(n))
+			return a, nil
+		}
+		last = err
+		if ctx.Err() != nil || err.Outcome == OutcomeUnknown {
+			break
+		}
+	}
+	if last == nil {
+		return answer{}, &Error{Call: r.name, Outcome: OutcomeDidNotHappen, Err: errors.New("no address")}
+	}
+	return answer{}, last
+}
+
+func (c *Client) try(ctx context.Context, address netip.AddrPort, r call) (answer, *Error) {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
+	fail := func(status int, err error) (answer, *Error) {
+		outcome := OutcomeUnknown
+		if !connected || r.method == http.MethodGet || status >= 400 && status < 500 {
+			outcome = OutcomeDidNotHappen
+		}
+		return answer{}, &Error{Call: r.name, Outcome: outcome, Status: status, Err: err}
+	}
+	request, err := http.NewRequestWithContext(ctx, r.method, "http://"+address.String()+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return fail(0, err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fail(0, err)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	_ = response.Body.Close()
+	if err == nil && len(body) > maxAnswerBytes {
+		err = fmt.Errorf("answer above %d bytes", maxAnswerBytes)
+	}
+	if err != nil {
+		return fail(0, err)
+	}
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusNotFound {
+		return fail(response.StatusCode, fmt.Errorf("%w %s", errStatus, response.Status))
+	}
+	index, _ := strconv.ParseUint(response.Header.Get("X-Consul-Index"), 10, 64)
+	return answer{status: response.StatusCode, index: index, body: body}, nil
+}
+
+// put sends a change and decodes its answer into result unless that is nil.
+func (c *Client) put(ctx context.Context, name, path string, body []byte, result any) error {
+	a, err := c.do(ctx, call{name: name, method: http.MethodPut, path: path, body: body, timeout: c.timeout})
+	if err != nil {
+		return err
+	}
+	if a.status != http.StatusOK {
+		return &Error{Call: name, Outcome: OutcomeDidNotHappen, Status: a.status, Err: errStatus}
+	}
+	if result == nil {
+		return nil
+	}
+	if err := json.Unmarshal(a.body, result); err != nil {
+		return &Error{Call: name, Outcome: OutcomeUnknown, Status: a.status, Err: err}
+	}
+	return nil
+}
+
+// blocking returns the query that makes a call wait for a change.
+func (c *Client) blocking(after uint64) string {
+	return fmt.Sprintf("?index=%d&wait=%dms", after, c.wait.Milliseconds())
+}
--- /dev/null
+++ b/io/platform/platform_test.go
@@ -0,0 +1,183 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"anviltack/core/member"
+)
+
+// fake is the platform's service with one key and a switch for lost answers.
+type fake struct {
+	mu     sync.Mutex
+	index  uint64
+	value  []byte
+	status int
+	lose   bool
+	bodies []string
+	calls  int
+}
+
+func (f *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	body, _ := io.ReadAll(r.Body)
+	if f.status != 0 {
+		w.WriteHeader(f.status)
+		return
+	}
+	answer := f.answer(r, body)
+	if f.lose && r.Method == http.MethodPut {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Consul-Index", fmt.Sprint(f.index))
+	if answer == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (f *fake) stored() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return string(f.value)
+}
+
+func (f *fake) answer(r *http.Request, body []byte) any {
+	switch {
+	case r.Method == http.MethodGet && r.URL.Path == "/v1/kv/k":
+		if f.index == 0 {
+			return nil
+		}
+		return []any{map[string]any{"Value": f.value, "ModifyIndex": f.index}}
+	case r.Method == http.MethodGet:
+		entries := make([]any, 0, len(f.bodies))
+		for _, b := range f.bodies {
+			entries = append(entries, map[string]any{"Service": json.RawMessage(b)})
+		}
+		return entries
+	case r.URL.Query().Has("cas"):
+		if r.URL.Query().Get("cas") != fmt.Sprint(f.index) {
+			return false
+		}
+		f.index += 2
+		f.value = body
+		return true
+	case r.URL.Path == "/v1/session/create":
+		return map[string]string{"ID": "s1"}
+	case r.URL.Query().Has("acquire"):
+		return len(f.bodies) == 0
+	}
+	f.bodies = append(f.bodies, string(body))
+	return true
+}
+
+func serve(t *testing.T, f *fake) netip.AddrPort {
+	s := httptest.NewServer(f)
+	t.Cleanup(s.Close)
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+// closedAddress returns an address where nothing listens.
+func closedAddress() netip.AddrPort {
+	s := httptest.NewServer(http.NotFoundHandler())
+	defer s.Close()
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+func TestStore(t *testing.T) {
+	is := is.New(t)
+	f := &fake{}
+	p := New([]netip.AddrPort{closedAddress(), serve(t, f)}).Platform()
+	ctx := context.Background()
+	e, err := p.Get(ctx, "k")
+	is.NoErr(err)
+	is.Equal(e.Index, uint64(0))
+	won, err := p.Swap(ctx, "k", 0, []byte("one"))
+	is.NoErr(err)
+	is.True(won)
+	won, err = p.Swap(ctx, "k", 0, []byte("two"))
+	is.NoErr(err)
+	is.True(!won)
+	e, err = p.Watch(ctx, "k", 0)
+	is.NoErr(err)
+	is.Equal(string(e.Value), "one")
+	is.Equal(e.Index, uint64(2))
+}
+
+// TestOutcomes checks that a failed change is told apart by whether it may have
+// taken effect, and that an uncertain one is not sent to another address.
+func TestOutcomes(t *testing.T) {
+	ctx := context.Background()
+	t.Run("refused connection", func(t *testing.T) {
+		is := is.New(t)
+		_, err := New([]netip.AddrPort{closedAddress()}).Platform().Swap(ctx, "k", 0, nil)
+		is.True(err != nil)
+		is.True(!IsUnknown(err))
+	})
+	t.Run("lost answer", func(t *testing.T) {
+		is := is.New(t)
+		f, other := &fake{lose: true}, &fake{}
+		p := New([]netip.AddrPort{serve(t, f), serve(t, other)}).Platform()
+		_, err := p.Swap(ctx, "k", 0, []byte("one"))
+		is.True(IsUnknown(err))
+		is.Equal(f.stored(), "one")
+		is.Equal(other.calls, 0)
+	})
+	t.Run("no answer in time", func(t *testing.T) {
+		is := is.New(t)
+		stop := make(chan struct{})
+		s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-stop }))
+		defer s.Close()
+		defer close(stop)
+		a := netip.MustParseAddrPort(s.Listener.Addr().String())
+		_, err := New([]netip.AddrPort{a}, WithTimeout(20*time.Millisecond)).Platform().Swap(ctx, "k", 0, nil)
+		is.True(IsUnknown(err))
+	})
+	for status, unknown := range map[int]bool{500: true, 503: true, 400: false, 403: false, 404: false} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			is := is.New(t)
+			_, err := New([]netip.AddrPort{serve(t, &fake{status: status})}).Platform().Swap(ctx, "k", 0, nil)
+			is.True(err != nil)
+			is.Equal(IsUnknown(err), unknown)
+		})
+	}
+}
+
+func TestList(t *testing.T) {
+	is := is.New(t)
+	f := &fake{}
+	l := New([]netip.AddrPort{serve(t, f)}).List()
+	ctx := context.Background()
+	want := member.Listing{Instance: "a", DataCentre: "x", Address: netip.MustParseAddrPort("127.0.0.1:7432"), Leaving: true}
+	is.NoErr(l.Register(ctx, want))
+	got, _, err := l.Watch(ctx, 0)
+	is.NoErr(err)
+	is.Equal(got, []member.Listing{want})
+	is.NoErr(l.Deregister(ctx, "a"))
+}
+
+func TestLease(t *testing.T) {
+	is := is.New(t)
+	f := &fake{}
+	p := New([]netip.AddrPort{serve(t, f)}).Platform()
+	ctx := context.Background()
+	l, err := p.Lease(ctx, "k", 10*time.Second)
+	is.NoErr(err)
+	is.NoErr(l.Renew(ctx))
+	_, err = p.Lease(ctx, "k", 10*time.Second)
+	is.Equal(err, ErrHeld)
+	is.NoErr(l.Release(ctx))
+}
