--- a/instance/instance.go
+++ b/instance/instance.go
@@ -14,6 +14,7 @@
 
 	"anviltack/core"
 	"anviltack/core/patch"
+	"anviltack/io/endpoint"
 	"anviltack/settings"
 )
 
@@ -82,6 +83,11 @@
 	return nil
 }
 
+// login returns how the instance logs in at endpoints.
+func (in *Instance) login() endpoint.Login {
+	return endpoint.Login{User: in.settings.User, Password: in.settings.Password, Database: in.settings.Database}
+}
+
 // event starts a log line for a numbered event.
 func (in *Instance) event(e core.Event) *logrus.Entry {
 	return in.log.WithFields(logrus.Fields{"event": int(e), "instance": in.settings.Instance})
--- a/instance/links.go
+++ b/instance/links.go
@@ -79,7 +79,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	c, err := endpoint.Dial(ctx, l.name, l.address, endpoint.Login{User: l.instance.settings.User, Database: "postgres"})
+	c, err := endpoint.Dial(ctx, l.name, l.address, l.instance.login())
 	if err == nil {
 		return c, nil
 	}
--- a/instance/sampler.go
+++ b/instance/sampler.go
@@ -63,7 +63,7 @@
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
 		in := s.group.control.instance
-		c, err := endpoint.Dial(ctx, s.name, s.address, endpoint.Login{User: in.settings.User, Database: "postgres"})
+		c, err := endpoint.Dial(ctx, s.name, s.address, in.login())
 		if err != nil {
 			return core.Status{}, err
 		}
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -51,14 +51,6 @@
 	return fmt.Sprintf("endpoint: %s: %s", e.State, e.Message)
 }
 
-// Login is what a connection states at start-up.
-type Login struct {
-	User     string
-	Database string
-	// Parameters are further run-time parameters; it may be nil.
-	Parameters map[string]string
-}
-
 // Dial opens a connection and logs in before the context ends. Its error is a
 // *ServerError when the endpoint answered with one.
 func Dial(ctx context.Context, name core.Endpoint, address netip.AddrPort, login Login) (*Conn, error) {
@@ -85,34 +77,6 @@
 	return c, nil
 }
 
-func (c *Conn) start(login Login) error {
-	parameters := map[string]string{"user": login.User, "database": login.Database}
-	for name, value := range login.Parameters {
-		parameters[name] = value
-	}
-	c.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: parameters})
-	if err := c.Flush(); err != nil {
-		return err
-	}
-	for {
-		m, err := c.Receive()
-		if err != nil {
-			return err
-		}
-		switch m := m.(type) {
-		case *pgproto3.AuthenticationOk, *pgproto3.ParameterStatus, *pgproto3.NoticeResponse:
-		case *pgproto3.BackendKeyData:
-			c.key = pgproto3.BackendKeyData{ProcessID: m.ProcessID, SecretKey: append([]byte(nil), m.SecretKey...)}
-		case *pgproto3.ErrorResponse:
-			return &ServerError{State: m.Code, Message: m.Message}
-		case *pgproto3.ReadyForQuery:
-			return nil
-		default:
-			return fmt.Errorf("endpoint: unexpected %T at start-up", m)
-		}
-	}
-}
-
 // SetDeadline bounds every later Flush and Receive; the zero time lifts the bound.
 func (c *Conn) SetDeadline(t time.Time) {
 	if err := c.conn.SetDeadline(t); err != nil {
--- /dev/null
+++ b/io/endpoint/login.go
@@ -0,0 +1,99 @@
+package endpoint
+
+import (
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+)
+
+const mechanism = "SCRAM-SHA-256"
+
+// Login is what a connection states at start-up.
+type Login struct {
+	User string
+	// Password answers a request for SCRAM-SHA-256; it may be empty.
+	Password string
+	Database string
+}
+
+// start takes the connection through start-up and authentication.
+func (c *Conn) start(login Login) error {
+	c.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": login.User, "database": login.Database},
+	})
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := m.(type) {
+		case *pgproto3.AuthenticationOk, *pgproto3.ParameterStatus, *pgproto3.NoticeResponse:
+		case *pgproto3.AuthenticationSASL:
+			if err := c.authenticate(login); err != nil {
+				return err
+			}
+		case *pgproto3.BackendKeyData:
+			c.key = pgproto3.BackendKeyData{ProcessID: m.ProcessID, SecretKey: append([]byte(nil), m.SecretKey...)}
+		case *pgproto3.ErrorResponse:
+			return &ServerError{State: m.Code, Message: m.Message}
+		case *pgproto3.ReadyForQuery:
+			return nil
+		default:
+			return fmt.Errorf("endpoint: unexpected %T at start-up", m)
+		}
+	}
+}
+
+// authenticate runs a SCRAM-SHA-256 exchange and checks that the endpoint knows
+// the password too.
+func (c *Conn) authenticate(login Login) error {
+	client, err := scram.SHA256.NewClient(login.User, login.Password, "")
+	if err != nil {
+		return fmt.Errorf("endpoint: could not start authentication: %w", err)
+	}
+	conversation := client.NewConversation()
+	first, err := conversation.Step("")
+	if err != nil {
+		return fmt.Errorf("endpoint: could not start authentication: %w", err)
+	}
+	c.Send(&pgproto3.SASLInitialResponse{AuthMechanism: mechanism, Data: []byte(first)})
+	for !conversation.Done() {
+		challenge, err := c.receiveChallenge()
+		if err != nil {
+			return err
+		}
+		reply, err := conversation.Step(challenge)
+		if err != nil {
+			return fmt.Errorf("endpoint: authentication failed: %w", err)
+		}
+		if !conversation.Done() {
+			c.Send(&pgproto3.SASLResponse{Data: []byte(reply)})
+		}
+	}
+	return nil
+}
+
+// receiveChallenge sends what waits and returns the endpoint's next challenge.
+func (c *Conn) receiveChallenge() (string, error) {
+	if err := c.Flush(); err != nil {
+		return "", err
+	}
+	m, err := c.Receive()
+	if err != nil {
+		return "", err
+	}
+	switch m := m.(type) {
+	case *pgproto3.AuthenticationSASLContinue:
+		return string(m.Data), nil
+	case *pgproto3.AuthenticationSASLFinal:
+		return string(m.Data), nil
+	case *pgproto3.ErrorResponse:
+		return "", &ServerError{State: m.Code, Message: m.Message}
+	}
+	return "", fmt.Errorf("endpoint: unexpected %T during authentication", m)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,6 +35,10 @@
 	Token string
 	// User is the name under which the instance logs in at endpoints.
 	User string
+	// Password answers endpoints that ask for one; it may be empty.
+	Password string
+	// Database is the name of the database at endpoints.
+	Database string
 	// Sample is the time between two samples of an idle endpoint.
 	Sample time.Duration
 	// Connect bounds the opening of a connection to an endpoint.
--- a/settings/table.go
+++ b/settings/table.go
@@ -62,6 +62,21 @@
 			return checkName(values[0])
 		},
 	},
+	{
+		Name: "password", Allowed: "a text", Help: "Password with which the instance logs in at endpoints.",
+		set: func(s *Settings, values []string) error {
+			s.Password = values[0]
+			return nil
+		},
+	},
+	{
+		Name: "database", Default: "postgres", Allowed: allowedName,
+		Help: "Name of the database at endpoints.",
+		set: func(s *Settings, values []string) error {
+			s.Database = values[0]
+			return checkName(values[0])
+		},
+	},
 	duration("sample", "20ms", time.Millisecond, time.Second, "Time between two samples of an idle endpoint.", func(s *Settings) *time.Duration { return &s.Sample }),
 	duration("connect", "1s", 10*time.Millisecond, time.Minute, "Longest opening of a connection to an endpoint.", func(s *Settings) *time.Duration { return &s.Connect }),
 	duration("answer", "250ms", 10*time.Millisecond, 10*time.Second, "Longest answer to a status, fence or promote request.", func(s *Settings) *time.Duration { return &s.Answer }),
