--- a/instance/session.go
+++ b/instance/session.go
@@ -51,6 +51,7 @@
 func (in *Instance) serve(ctx context.Context, nc net.Conn) {
 	conn := caller.NewConn(nc, in.settings.Message)
 	defer conn.Close()
+	defer context.AfterFunc(ctx, conn.Close)()
 	conn.SetReadDeadline(time.Now().Add(startLimit))
 	s, err := in.start(conn)
 	var cancelled *caller.CancelError
