--- a/standin/cmd/main.go
+++ b/standin/cmd/main.go
@@ -16,6 +16,7 @@
 type commands struct {
 	Platform platformCmd `cmd:"" help:"Stand in for the platform."`
 	Endpoint endpointCmd `cmd:"" help:"Stand in for a member of a database group."`
+	Load     loadCmd     `cmd:"" help:"Run callers against entry instances and judge their answers."`
 }
 
 func main() {
--- /dev/null
+++ b/standin/load/judge.go
@@ -0,0 +1,95 @@
+package load
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"anviltack/core"
+	"anviltack/standin/endpoint"
+)
+
+// written is where a value stands in a log.
+type written struct {
+	count    int
+	position uint64
+}
+
+// judge compares every write with what the primaries hold at the end.
+func (l *Load) judge(ctx context.Context, started, ended time.Time) (*Report, error) {
+	for _, d := range l.databases {
+		entries, rows, err := l.fleet.final(ctx, d)
+		if err != nil {
+			return nil, err
+		}
+		l.judgeDatabase(d.Name, entries, rows)
+	}
+	return l.report(started, ended), nil
+}
+
+func (l *Load) judgeDatabase(d core.Database, entries []endpoint.Entry, rows endpoint.Rows) {
+	values := make(map[string]written)
+	for _, e := range entries {
+		for _, c := range e.Changes {
+			if c.Table != endpoint.TableItem {
+				continue
+			}
+			w := values[c.Value]
+			values[c.Value] = written{count: w.count + 1, position: e.Position}
+		}
+	}
+	batches := make(map[string][]uint64)
+	newest := make(map[string]uint64)
+	for _, w := range l.ledger.writes {
+		if w.Database != d {
+			continue
+		}
+		found := values[w.Value()]
+		l.judgeWrite(w, found)
+		if w.Batch != "" {
+			batches[w.Batch] = append(batches[w.Batch], found.position)
+		}
+		if w.Outcome == OutcomeAcknowledged {
+			newest[w.Key] = max(newest[w.Key], w.Version)
+		}
+	}
+	for name, positions := range batches {
+		slices.Sort(positions)
+		if len(slices.Compact(positions)) > 1 {
+			l.tally.broken(brokenTorn, "transaction %s stands at positions %v", name, positions)
+		}
+	}
+	for key, version := range newest {
+		_, last, ok := parseValue(rows.Rows[key].Value)
+		if !ok || last < version {
+			l.tally.broken(brokenLost, "row %s ended at version %d, version %d was acknowledged", key, last, version)
+		}
+	}
+}
+
+func (l *Load) judgeWrite(w *Write, found written) {
+	switch {
+	case w.Outcome == OutcomeAcknowledged && found.count == 0:
+		l.tally.broken(brokenLost, "%s was acknowledged", w.Value())
+	case w.Outcome == OutcomeRefused && found.count > 0:
+		l.tally.broken(brokenRefused, "%s is at position %d", w.Value(), found.position)
+	case found.count > 1:
+		l.tally.broken(brokenDoubled, "%s was written %d times", w.Value(), found.count)
+	}
+}
+
+// gap returns the longest time without an acknowledged write.
+func (l *Load) gap(d core.Database, started, ended time.Time) time.Duration {
+	times := []time.Time{started, ended}
+	for _, w := range l.ledger.writes {
+		if w.Database == d && w.Outcome == OutcomeAcknowledged {
+			times = append(times, w.At)
+		}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return a.Compare(b) })
+	var longest time.Duration
+	for i := 1; i < len(times); i++ {
+		longest = max(longest, times[i].Sub(times[i-1]))
+	}
+	return longest
+}
--- /dev/null
+++ b/standin/load/report.go
@@ -0,0 +1,145 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"anviltack/core"
+	"anviltack/core/patch"
+)
+
+// Quantiles are the latencies of answered statements.
+type Quantiles struct {
+	Count  int64          `json:"count"`
+	Median patch.Duration `json:"p50"`
+	P95    patch.Duration `json:"p95"`
+	P99    patch.Duration `json:"p99"`
+	Most   patch.Duration `json:"max"`
+}
+
+// Writes counts the writes by outcome.
+type Writes struct {
+	Acknowledged int `json:"acknowledged"`
+	Refused      int `json:"refused"`
+	Unknown      int `json:"unknown"`
+}
+
+// Report is what a run came to.
+type Report struct {
+	Duration    patch.Duration `json:"duration"`
+	Statements  int            `json:"statements"`
+	Connections int            `json:"connections"`
+	Writes      Writes         `json:"writes"`
+	// ReadsPrimary and ReadsReplica count the reads that endpoints served.
+	ReadsPrimary int     `json:"reads_primary"`
+	ReadsReplica int     `json:"reads_replica"`
+	ReplicaShare float64 `json:"replica_share"`
+	// Gaps holds the longest time without an acknowledged write by database.
+	Gaps   map[core.Database]patch.Duration `json:"gaps"`
+	Reads  Quantiles                        `json:"read_latency"`
+	Commit Quantiles                        `json:"write_latency"`
+	// Refusals counts errors by their numbered code, or SQLSTATE without one.
+	Refusals map[string]int `json:"refusals"`
+	Lost     int            `json:"lost"`
+	Doubled  int            `json:"doubled"`
+	// Stale counts reads older than their kind's age or than their session saw.
+	Stale            int      `json:"stale"`
+	StaleAge         int      `json:"stale_age"`
+	StaleSession     int      `json:"stale_session"`
+	Crossed          int      `json:"crossed"`
+	RanThoughRefused int      `json:"ran_though_refused"`
+	Torn             int      `json:"torn"`
+	Unanswered       int      `json:"unanswered"`
+	Examples         []string `json:"examples,omitempty"`
+}
+
+// Broken counts the broken promises.
+func (r *Report) Broken() int {
+	return r.Lost + r.Doubled + r.Stale + r.Crossed + r.RanThoughRefused + r.Torn + r.Unanswered
+}
+
+func (l *Load) report(started, ended time.Time) *Report {
+	t := l.tally
+	r := &Report{
+		Duration:         patch.Duration(ended.Sub(started).Round(time.Millisecond)),
+		Statements:       t.statements,
+		Connections:      t.connections,
+		Gaps:             make(map[core.Database]patch.Duration),
+		Reads:            quantiles(t.latencies[kindRead]),
+		Commit:           quantiles(t.latencies[kindWrite]),
+		Refusals:         t.refusals,
+		Lost:             t.failures[brokenLost],
+		Doubled:          t.failures[brokenDoubled],
+		Stale:            t.failures[brokenAge] + t.failures[brokenSession],
+		StaleAge:         t.failures[brokenAge],
+		StaleSession:     t.failures[brokenSession],
+		Crossed:          t.failures[brokenCrossed],
+		RanThoughRefused: t.failures[brokenRefused],
+		Torn:             t.failures[brokenTorn],
+		Unanswered:       t.failures[brokenUnanswered],
+		Examples:         t.examples,
+	}
+	for _, s := range l.fleet.stats {
+		r.ReadsPrimary += s.ReadsPrimary
+		r.ReadsReplica += s.ReadsReplica
+	}
+	if all := r.ReadsPrimary + r.ReadsReplica; all > 0 {
+		r.ReplicaShare = float64(r.ReadsReplica) / float64(all)
+	}
+	for _, d := range l.databases {
+		r.Gaps[d.Name] = patch.Duration(l.gap(d.Name, started, ended).Round(time.Millisecond))
+	}
+	for _, w := range l.ledger.writes {
+		switch w.Outcome {
+		case OutcomeAcknowledged:
+			r.Writes.Acknowledged++
+		case OutcomeRefused:
+			r.Writes.Refused++
+		default:
+			r.Writes.Unknown++
+		}
+	}
+	return r
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) patch.Duration {
+		return patch.Duration(time.Duration(h.ValueAtQuantile(q)) * time.Microsecond)
+	}
+	return Quantiles{Count: h.TotalCount(), Median: at(50), P95: at(95), P99: at(99), Most: at(100)}
+}
+
+// Print writes the report for people.
+func (r *Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "statements          %d in %s over %d connections\n", r.Statements, time.Duration(r.Duration), r.Connections)
+	fmt.Fprintf(w, "reads on replicas   %.1f%% (%d on replicas, %d on primaries)\n", 100*r.ReplicaShare, r.ReadsReplica, r.ReadsPrimary)
+	fmt.Fprintf(w, "writes              %d acknowledged, %d refused, %d unknown\n", r.Writes.Acknowledged, r.Writes.Refused, r.Writes.Unknown)
+	for _, d := range slices.Sorted(maps.Keys(r.Gaps)) {
+		fmt.Fprintf(w, "write gap           %s: %s\n", d, time.Duration(r.Gaps[d]))
+	}
+	r.Reads.print(w, "read latency")
+	r.Commit.print(w, "write latency")
+	for _, code := range slices.Sorted(maps.Keys(r.Refusals)) {
+		fmt.Fprintf(w, "refused             %s: %d\n", code, r.Refusals[code])
+	}
+	fmt.Fprintf(w, "lost                %d\n", r.Lost)
+	fmt.Fprintf(w, "doubled             %d\n", r.Doubled)
+	fmt.Fprintf(w, "stale               %d (%d by age, %d by session)\n", r.Stale, r.StaleAge, r.StaleSession)
+	fmt.Fprintf(w, "crossed             %d\n", r.Crossed)
+	fmt.Fprintf(w, "ran though refused  %d\n", r.RanThoughRefused)
+	fmt.Fprintf(w, "torn transactions   %d\n", r.Torn)
+	fmt.Fprintf(w, "unanswered          %d\n", r.Unanswered)
+	for _, e := range r.Examples {
+		fmt.Fprintf(w, "example             %s\n", e)
+	}
+}
+
+func (q Quantiles) print(w io.Writer, name string) {
+	fmt.Fprintf(w, "%-19s p50 %s, p95 %s, p99 %s, max %s of %d\n", name,
+		time.Duration(q.Median), time.Duration(q.P95), time.Duration(q.P99), time.Duration(q.Most), q.Count)
+}
