--- a/standin/cmd/endpoint.go
+++ b/standin/cmd/endpoint.go
@@ -11,6 +11,7 @@
 type endpointCmd struct {
 	Name        string           `required:"" help:"Name of the endpoint."`
 	Group       string           `required:"" help:"Name of its group."`
+	DataCentre  string           `default:"" help:"Its data centre."`
 	Listen      netip.AddrPort   `required:"" help:"Address for statements."`
 	Control     netip.AddrPort   `required:"" help:"Address for replication and fault switches."`
 	Peers       []netip.AddrPort `help:"Control addresses of the other members."`
--- a/standin/cmd/main.go
+++ b/standin/cmd/main.go
@@ -17,6 +17,7 @@
 	Platform platformCmd `cmd:"" help:"Stand in for the platform."`
 	Endpoint endpointCmd `cmd:"" help:"Stand in for a member of a database group."`
 	Load     loadCmd     `cmd:"" help:"Run callers against entry instances and judge their answers."`
+	Demo     demoCmd     `cmd:"" help:"Run a whole site as processes, strike with a fault and report."`
 }
 
 func main() {
--- /dev/null
+++ b/standin/demo/config.go
@@ -0,0 +1,147 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"anviltack/core"
+	"anviltack/core/patch"
+	"anviltack/io/caller"
+)
+
+// Log-ins and limits of the demo.
+const (
+	callerName      = "caller"
+	callerPassword  = "demo-password"
+	callerSalt      = "demo-salt-16-byt"
+	operatorToken   = "demo-token"
+	deadline        = 5 * time.Second
+	transactionIdle = 10 * time.Second
+	queue           = 200
+)
+
+// settings returns the settings file of an entry instance.
+func (b *bench) settings(e *entry) ([]byte, error) {
+	s := struct {
+		Instance   string   `json:"instance"`
+		DataCentre string   `json:"data_centre"`
+		Callers    string   `json:"callers"`
+		Operators  string   `json:"operators"`
+		Peers      string   `json:"peers"`
+		Platform   []string `json:"platform"`
+		Seeds      []string `json:"seeds"`
+		Token      string   `json:"token"`
+		User       string   `json:"user"`
+	}{
+		Instance:   e.name,
+		DataCentre: string(e.dataCentre),
+		Callers:    e.callers.String(),
+		Operators:  e.operators.String(),
+		Peers:      e.peers.String(),
+		Platform:   []string{b.platformAPI.String()},
+		Token:      operatorToken,
+		User:       "anviltack-" + string(e.dataCentre),
+	}
+	for _, other := range b.entries {
+		if other != e {
+			s.Seeds = append(s.Seeds, other.peers.String())
+		}
+	}
+	text, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("demo: %w", err)
+	}
+	return text, nil
+}
+
+// config returns the configuration of the site.
+func (b *bench) config() (patch.Config, error) {
+	secret, err := caller.Verifier(callerPassword, []byte(callerSalt))
+	if err != nil {
+		return patch.Config{}, err
+	}
+	c := patch.Config{
+		Groups:    make(map[core.Group]patch.Group),
+		Databases: make(map[core.Database]patch.Database),
+		Callers:   make(map[core.Caller]patch.Caller),
+		Limits: patch.Limits{
+			Deadline:        patch.Duration(deadline),
+			TransactionIdle: patch.Duration(transactionIdle),
+			Queue:           queue,
+		},
+	}
+	kinds := make(map[core.Kind]patch.Kind)
+	for name, age := range b.site.Kinds {
+		kinds[name] = patch.Kind{Age: patch.Duration(age)}
+	}
+	login := patch.Caller{Secret: secret}
+	for g := range b.site.Groups {
+		name := b.site.groupName(g)
+		group := patch.Group{Endpoints: make(map[core.Endpoint]patch.Endpoint)}
+		for _, m := range b.members {
+			if m.group != g {
+				continue
+			}
+			group.Endpoints[core.Endpoint(m.name)] = patch.Endpoint{
+				Address:     m.statements,
+				DataCentre:  m.dataCentre,
+				Slots:       b.site.Slots,
+				Connections: b.site.Connections,
+			}
+		}
+		c.Groups[core.Group(name)] = group
+		c.Databases[core.Database(name)] = patch.Database{Group: core.Group(name), Kinds: kinds}
+		login.Databases = append(login.Databases, core.Database(name))
+	}
+	c.Callers[callerName] = login
+	return c, nil
+}
+
+// putConfig puts the first version of the configuration on the platform.
+func (b *bench) putConfig() error {
+	c, err := b.config()
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(c)
+	if err != nil {
+		return fmt.Errorf("demo: %w", err)
+	}
+	document, err := patch.Document{}.Apply(patch.Request{
+		ID:    "first",
+		Who:   "demo",
+		Why:   "first configuration of the site",
+		Patch: text,
+	}, time.Now())
+	if err != nil {
+		return err
+	}
+	return b.put(b.platformAPI, "/v1/kv/"+patch.Key+"?cas=0", document, "true")
+}
+
+// probe runs one statement in each database through an entry instance.
+func (b *bench) probe(ctx context.Context, e *entry) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	for g := range b.site.Groups {
+		config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s/%s?sslmode=disable", e.callers, b.site.groupName(g)))
+		if err != nil {
+			return fmt.Errorf("demo: %w", err)
+		}
+		config.User, config.Password = callerName, callerPassword
+		conn, err := pgx.ConnectConfig(ctx, config)
+		if err != nil {
+			return fmt.Errorf("demo: %w", err)
+		}
+		_, err = conn.Exec(ctx, "SELECT count(*) FROM item")
+		_ = conn.Close(ctx)
+		if err != nil {
+			return fmt.Errorf("demo: %w", err)
+		}
+	}
+	return nil
+}
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -48,19 +48,21 @@
 	Lost     int            `json:"lost"`
 	Doubled  int            `json:"doubled"`
 	// Stale counts reads older than their kind's age or than their session saw.
-	Stale            int      `json:"stale"`
-	StaleAge         int      `json:"stale_age"`
-	StaleSession     int      `json:"stale_session"`
-	Crossed          int      `json:"crossed"`
-	RanThoughRefused int      `json:"ran_though_refused"`
-	Torn             int      `json:"torn"`
-	Unanswered       int      `json:"unanswered"`
-	Examples         []string `json:"examples,omitempty"`
+	Stale            int `json:"stale"`
+	StaleAge         int `json:"stale_age"`
+	StaleSession     int `json:"stale_session"`
+	Crossed          int `json:"crossed"`
+	RanThoughRefused int `json:"ran_though_refused"`
+	Torn             int `json:"torn"`
+	Unanswered       int `json:"unanswered"`
+	// Leaderless counts the databases without a primary at the end.
+	Leaderless int      `json:"leaderless"`
+	Examples   []string `json:"examples,omitempty"`
 }
 
 // Broken counts the broken promises.
 func (r *Report) Broken() int {
-	return r.Lost + r.Doubled + r.Stale + r.Crossed + r.RanThoughRefused + r.Torn + r.Unanswered
+	return r.Lost + r.Doubled + r.Stale + r.Crossed + r.RanThoughRefused + r.Torn + r.Unanswered + r.Leaderless
 }
 
 func (l *Load) report(started, ended time.Time) *Report {
@@ -82,6 +84,7 @@
 		RanThoughRefused: t.failures[brokenRefused],
 		Torn:             t.failures[brokenTorn],
 		Unanswered:       t.failures[brokenUnanswered],
+		Leaderless:       t.failures[brokenLeaderless],
 		Examples:         t.examples,
 	}
 	for _, s := range l.fleet.stats {
@@ -134,6 +137,7 @@
 	fmt.Fprintf(w, "ran though refused  %d\n", r.RanThoughRefused)
 	fmt.Fprintf(w, "torn transactions   %d\n", r.Torn)
 	fmt.Fprintf(w, "unanswered          %d\n", r.Unanswered)
+	fmt.Fprintf(w, "no primary at end   %d\n", r.Leaderless)
 	for _, e := range r.Examples {
 		fmt.Fprintf(w, "example             %s\n", e)
 	}
--- a/standin/load/tally.go
+++ b/standin/load/tally.go
@@ -31,6 +31,7 @@
 	brokenRefused    brokenKind = "ran though refused"
 	brokenTorn       brokenKind = "torn transactions"
 	brokenUnanswered brokenKind = "unanswered"
+	brokenLeaderless brokenKind = "no primary at the end"
 )
 
 // Bounds of what is kept.
