Check that docs/PROMISES.md names only tests and scripts that exist

Cause: a page of proofs goes stale when tests are renamed. Change: a test reads the page and looks up every name in it.

--- a/docs_test.go
+++ b/docs_test.go
@@ -4,7 +4,9 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -75,3 +77,41 @@
 	}
 	is.Equal(found, want)
 }
+
+// testNames returns the names of all tests, benchmarks and fuzz targets.
+func testNames(t *testing.T) map[string]bool {
+	t.Helper()
+	found := make(map[string]bool)
+	declared := regexp.MustCompile(`(?m)^func ((?:Test|Benchmark|Fuzz)\w+)\(`)
+	err := filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range declared.FindAllStringSubmatch(string(text), -1) {
+			found[m[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return found
+}
+
+func TestPromisesNameTests(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("docs/PROMISES.md")
+	is.NoErr(err)
+	known := testNames(t)
+	for _, m := range regexp.MustCompile("`((?:Test|Benchmark|Fuzz)\\w+)`").FindAllStringSubmatch(string(text), -1) {
+		if !known[m[1]] {
+			t.Errorf("docs/PROMISES.md names %s, which does not exist", m[1])
+		}
+	}
+	for _, m := range regexp.MustCompile("`([\\w/]+/testdata/[\\w./-]+)`").FindAllStringSubmatch(string(text), -1) {
+		if _, err := os.Stat(m[1]); err != nil {
+			t.Errorf("docs/PROMISES.md names %s, which does not exist", m[1])
+		}
+	}
+}
