Add the operators' and the peers' interfaces and their commands

Operators reach any instance by HTTP with a bearer token compared in constant time. POST /patch is idempotent by the patch's id, so the command settles a lost answer by sending the same patch again, to the next instance if need be; GET /patch/ID asks without sending. Secrets of callers are hidden in every answer. A conflict shows what changed since the base.

The peers' messages gain history entries, so that a change of one field need not carry the whole configuration. Whether a patch whose answer was lost could be told by reading alone was weighed: while the base still stands the swap may yet land, so reading answers 'pending' and only another swap decides.

--- a/cli/check.go
+++ b/cli/check.go
@@ -5,16 +5,23 @@
 	"errors"
 	"fmt"
 
+	"github.com/tailscale/hujson"
+
+	"anviltack/core/patch"
 	"anviltack/settings"
 )
 
 type checkCmd struct {
-	File string `arg:"" help:"Settings file to check." type:"path"`
-	JSON bool   `help:"Print the faults as JSON."`
+	File          string `arg:"" help:"File to check: settings unless told otherwise." type:"path"`
+	Configuration bool   `help:"The file is a whole configuration, as a first patch has it."`
+	JSON          bool   `help:"Print the faults as JSON."`
 }
 
-// Run checks a settings file without starting anything.
+// Run checks a file without starting anything.
 func (c *checkCmd) Run(s *streams) error {
+	if c.Configuration {
+		return c.configuration(s)
+	}
 	_, err := settings.Load(c.File)
 	var faults *settings.Error
 	if errors.As(err, &faults) {
@@ -31,3 +38,25 @@
 	_, err = fmt.Fprintln(s.out, c.File+": ok")
 	return err
 }
+
+// configuration checks a file that holds a whole configuration.
+func (c *checkCmd) configuration(s *streams) error {
+	text, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	standard, err := hujson.Standardize(text)
+	if err != nil {
+		return &statusError{status: exitSettings, err: fmt.Errorf("cli: not JSON: %w", err)}
+	}
+	if _, faults := patch.Validate(standard); len(faults) > 0 {
+		if c.JSON {
+			if err := json.NewEncoder(s.out).Encode(faults); err != nil {
+				return err
+			}
+		}
+		return &statusError{status: exitSettings, err: &patch.InvalidError{Faults: faults}}
+	}
+	_, err = fmt.Fprintln(s.out, c.File+": ok")
+	return err
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -16,6 +16,16 @@
 	exitUsage   = 2
 	// exitSettings tells that the settings file has faults.
 	exitSettings = 3
+	// exitConflict tells that another patch took the version.
+	exitConflict = 4
+	// exitInvalid tells that a patch has faults; nothing was changed.
+	exitInvalid = 5
+	// exitUnknown tells that a patch may be in; settle tells later.
+	exitUnknown = 6
+	// exitUnavailable tells that no instance or no platform answered.
+	exitUnavailable = 7
+	// exitForbidden tells that the bearer token is wrong.
+	exitForbidden = 8
 )
 
 // streams are where a command writes.
@@ -27,6 +37,11 @@
 type commands struct {
 	Serve   serveCmd   `cmd:"" help:"Run an entry instance."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file and name every fault."`
+	Config  configCmd  `cmd:"" help:"Show the configuration and its history."`
+	Patch   patchCmd   `cmd:"" help:"Submit a patch of the configuration."`
+	Settle  settleCmd  `cmd:"" help:"Tell what became of a patch."`
+	Dump    dumpCmd    `cmd:"" help:"Show the state of an instance."`
+	Status  statusCmd  `cmd:"" help:"Show groups, endpoints and instances."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/cli/operator.go
@@ -0,0 +1,82 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"anviltack/core"
+	"anviltack/core/patch"
+	"anviltack/io/operator"
+)
+
+// operatorFlags are the flags of the commands that ask a running instance.
+type operatorFlags struct {
+	Address   []netip.AddrPort `help:"Operator address of an instance; several are tried in turn." required:"" placeholder:"IP:PORT"`
+	TokenFile string           `help:"File with the bearer token." required:"" type:"existingfile" placeholder:"FILE"`
+	Timeout   time.Duration    `help:"Longest wait for an answer." default:"10s"`
+	JSON      bool             `help:"Print JSON."`
+}
+
+// client returns a client for the flags and a context with their timeout.
+func (f operatorFlags) client() (operator.Client, context.Context, context.CancelFunc, error) {
+	token, err := os.ReadFile(f.TokenFile)
+	if err != nil {
+		return operator.Client{}, nil, nil, &statusError{status: exitUsage, err: fmt.Errorf("cli: could not read the token: %w", err)}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
+	return operator.Client{Addresses: f.Address, Token: strings.TrimSpace(string(token)), HTTP: &http.Client{}}, ctx, cancel, nil
+}
+
+// get fetches a path into v.
+func (f operatorFlags) get(path string, v any) error {
+	c, ctx, cancel, err := f.client()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	return classify(c.Get(ctx, path, v))
+}
+
+// show prints a value as JSON.
+func (s *streams) show(v any) error {
+	e := json.NewEncoder(s.out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// classify gives an error the exit status of its code.
+func classify(err error) error {
+	if err == nil {
+		return nil
+	}
+	var unreachable *operator.UnreachableError
+	var unknown *patch.UnknownError
+	var answered *operator.Error
+	switch {
+	case errors.As(err, &unknown):
+		return &statusError{status: exitUnknown, err: err}
+	case errors.As(err, &answered):
+		if status, ok := codeStatuses[answered.Code]; ok {
+			return &statusError{status: status, err: err}
+		}
+	case errors.As(err, &unreachable):
+		return &statusError{status: exitUnavailable, err: err}
+	}
+	return err
+}
+
+var codeStatuses = map[core.Code]int{
+	core.CodePatchConflict:     exitConflict,
+	core.CodePatchInvalid:      exitInvalid,
+	core.CodePatchTooLarge:     exitInvalid,
+	core.CodePatchUnknown:      exitUnknown,
+	core.CodePlatformDown:      exitUnavailable,
+	core.CodeOperatorForbidden: exitForbidden,
+}
--- /dev/null
+++ b/cli/status.go
@@ -0,0 +1,51 @@
+package cli
+
+import (
+	"fmt"
+	"time"
+
+	"anviltack/core/member"
+	"anviltack/io/operator"
+)
+
+type statusCmd struct {
+	operatorFlags
+}
+
+// Run prints what one instance knows of groups, endpoints and instances.
+func (c *statusCmd) Run(s *streams) error {
+	var got operator.Status
+	if err := c.get("/status", &got); err != nil {
+		return err
+	}
+	if c.JSON {
+		return s.show(got)
+	}
+	fmt.Fprintf(s.out, "instance %s in %s: version %d from %s, watching %v, draining %v\n",
+		got.Instance, got.DataCentre, got.Version, got.Source, got.Watching, got.Draining)
+	for _, g := range got.Groups {
+		fmt.Fprintf(s.out, "group %s: term %d, primary %s\n", g.Group, g.Term, g.Primary)
+		for _, e := range g.Endpoints {
+			fmt.Fprintf(s.out, "  endpoint %s in %s: %s at %d%s\n", e.Endpoint, e.DataCentre, e.Role, e.Applied, leaving(e.Leaving))
+		}
+	}
+	for _, m := range got.Instances {
+		fmt.Fprintf(s.out, "instance %s in %s at %s: %s, version %d, %s\n",
+			m.Instance, m.DataCentre, m.Address, m.State, m.Version, silent(m))
+	}
+	return nil
+}
+
+func leaving(v bool) string {
+	if v {
+		return ", leaving"
+	}
+	return ""
+}
+
+func silent(m member.Member) string {
+	if m.Silent < 0 {
+		return "never heard"
+	}
+	return "heard " + m.Silent.Round(time.Millisecond).String() + " ago"
+}
--- /dev/null
+++ b/io/operator/server.go
@@ -0,0 +1,196 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"anviltack/core"
+	"anviltack/core/patch"
+)
+
+// maxRequestBytes bounds the body of an operator's request.
+const maxRequestBytes = 1 << 20
+
+// Server answers operators from function fields; a nil one is not offered.
+type Server struct {
+	// Token is what operators must show; an empty one refuses everybody.
+	Token   string
+	Metrics metrics.Registry
+	// Dump returns a value to be shown as JSON.
+	Dump   func() any
+	Status func() Status
+	// InForce returns the document in force on this instance.
+	InForce func() patch.Document
+	// Stored reads the document of the platform.
+	Stored func(ctx context.Context) (patch.Document, error)
+	// Submit brings a patch in and returns the version that it made.
+	Submit func(ctx context.Context, r patch.Request) (uint64, error)
+}
+
+// Handler returns the HTTP handler of the server.
+func (s Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	if s.Metrics != nil {
+		mux.HandleFunc("GET /metrics", s.metrics)
+	}
+	if s.Dump != nil {
+		mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) { show(w, http.StatusOK, s.Dump()) })
+	}
+	if s.Status != nil {
+		mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { show(w, http.StatusOK, s.Status()) })
+	}
+	if s.InForce != nil {
+		mux.HandleFunc("GET /config", s.config)
+	}
+	if s.Stored != nil {
+		mux.HandleFunc("GET /config/history", s.history)
+		mux.HandleFunc("GET /config/diff", s.diff)
+		mux.HandleFunc("GET /patch/{id}", s.settle)
+	}
+	if s.Submit != nil {
+		mux.HandleFunc("POST /patch", s.patch)
+	}
+	return s.authorize(http.MaxBytesHandler(mux, maxRequestBytes))
+}
+
+func (s Server) authorize(next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte(s.Token))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(token))
+		if !ok || s.Token == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			show(w, http.StatusUnauthorized, Error{Code: core.CodeOperatorForbidden, Reason: "the bearer token is missing or wrong"})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func show(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(v)
+}
+
+func (s Server) config(w http.ResponseWriter, _ *http.Request) {
+	d := s.InForce()
+	show(w, http.StatusOK, Configuration{Version: d.Version, Config: d.Config.WithoutSecrets()})
+}
+
+func (s Server) history(w http.ResponseWriter, r *http.Request) {
+	d, err := s.Stored(r.Context())
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	since, ok := number(w, r, "since")
+	if !ok {
+		return
+	}
+	show(w, http.StatusOK, History{
+		Version: d.Version, Lowest: d.Lowest, Trimmed: d.Trimmed, Entries: patch.EntriesWithoutSecrets(d.Since(since)),
+	})
+}
+
+func (s Server) diff(w http.ResponseWriter, r *http.Request) {
+	from, ok := number(w, r, "from")
+	if !ok {
+		return
+	}
+	d, err := s.Stored(r.Context())
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	to := d.Version
+	if r.URL.Query().Has("to") {
+		if to, ok = number(w, r, "to"); !ok {
+			return
+		}
+	}
+	changes, err := d.Diff(from, to)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	show(w, http.StatusOK, changes)
+}
+
+func (s Server) settle(w http.ResponseWriter, r *http.Request) {
+	base, ok := number(w, r, "base")
+	if !ok {
+		return
+	}
+	d, err := s.Stored(r.Context())
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	show(w, http.StatusOK, d.Settle(r.PathValue("id"), base))
+}
+
+func (s Server) patch(w http.ResponseWriter, r *http.Request) {
+	var request patch.Request
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&request); err != nil {
+		fail(w, &patch.InvalidError{Faults: []patch.Fault{{Path: "", Problem: err.Error(), Allowed: "id, base, who, why and patch"}}})
+		return
+	}
+	version, err := s.Submit(r.Context(), request)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	show(w, http.StatusOK, Accepted{Version: version})
+}
+
+// number reads an optional number of the query.
+func number(w http.ResponseWriter, r *http.Request, name string) (uint64, bool) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, true
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		fail(w, &patch.InvalidError{Faults: []patch.Fault{{Path: name, Problem: "not a number", Allowed: "a version"}}})
+		return 0, false
+	}
+	return n, true
+}
+
+func fail(w http.ResponseWriter, err error) {
+	f := Error{Code: core.CodePlatformDown, Reason: err.Error()}
+	var coded interface{ Code() core.Code }
+	if errors.As(err, &coded) {
+		f.Code = coded.Code()
+	}
+	var trimmed *patch.TrimmedError
+	if errors.As(err, &trimmed) {
+		f.Code = core.CodePatchInvalid
+	}
+	var invalid *patch.InvalidError
+	if errors.As(err, &invalid) {
+		f.Faults = invalid.Faults
+	}
+	var conflict *patch.ConflictError
+	if errors.As(err, &conflict) {
+		f.Version, f.Since = conflict.Version, patch.EntriesWithoutSecrets(conflict.Since)
+	}
+	status, ok := statuses[f.Code]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	show(w, status, f)
+}
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"anviltack/core/member"
+	"anviltack/io/peer/wire"
+)
+
+// The defaults of a client.
+const (
+	defaultTimeout = time.Second
+	maxIdleSockets = 2
+)
+
+// Client calls other instances.
+type Client struct {
+	http    *http.Client
+	timeout time.Duration
+}
+
+// Option changes a default of a client.
+type Option func(*Client)
+
+// WithTimeout bounds each call.
+func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
+
+// NewClient returns a client for any number of peers.
+func NewClient(options ...Option) *Client {
+	c := &Client{
+		http: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxIdleSockets, IdleConnTimeout: time.Minute, DisableCompression: true,
+		}},
+		timeout: defaultTimeout,
+	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+func (c *Client) to(address netip.AddrPort) wire.Peer {
+	return wire.NewPeerProtobufClient("http://"+address.String(), c.http)
+}
+
+// Beat sends a heartbeat and returns the peer's own.
+func (c *Client) Beat(ctx context.Context, to netip.AddrPort, b member.Beat) (member.Beat, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	m, err := c.to(to).Beat(ctx, encodeBeat(b))
+	if err != nil {
+		return member.Beat{}, fmt.Errorf("peer: heartbeat: %w", err)
+	}
+	return decodeBeat(m)
+}
+
+// Pull returns the peer's configuration; its document is nil when the peer has
+// none above version.
+func (c *Client) Pull(ctx context.Context, from netip.AddrPort, version uint64) (Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	m, err := c.to(from).Pull(ctx, &wire.PullRequest{Version: version})
+	if err != nil {
+		return Update{}, fmt.Errorf("peer: pull: %w", err)
+	}
+	return decodeUpdate(m)
+}
+
+// Push hands an update on and returns the version that the peer then has.
+func (c *Client) Push(ctx context.Context, to netip.AddrPort, u Update) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	m, err := encodeUpdate(u)
+	if err != nil {
+		return 0, err
+	}
+	a, err := c.to(to).Push(ctx, m)
+	if err != nil {
+		return 0, fmt.Errorf("peer: push: %w", err)
+	}
+	return a.GetVersion(), nil
+}
+
+// Opinion asks what the peer sees of a group's primary.
+func (c *Client) Opinion(ctx context.Context, of netip.AddrPort, r OpinionRequest) (Opinion, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	m, err := c.to(of).Opinion(ctx, &wire.OpinionRequest{Group: string(r.Group), Term: r.Term})
+	if err != nil {
+		return Opinion{}, fmt.Errorf("peer: opinion: %w", err)
+	}
+	return Opinion{
+		Known: m.GetKnown(), Term: m.GetTerm(),
+		Silent: milliseconds(m.GetSilentMs()), Stalled: milliseconds(m.GetStalledMs()),
+	}, nil
+}
+
+// Promoted tells the peer of a promotion.
+func (c *Client) Promoted(ctx context.Context, to netip.AddrPort, p Promotion) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, err := c.to(to).Promoted(ctx, &wire.Promotion{Group: string(p.Group), Term: p.Term, Endpoint: string(p.Endpoint)})
+	if err != nil {
+		return fmt.Errorf("peer: promoted: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,78 @@
+package peer
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"anviltack/core/member"
+	"anviltack/core/patch"
+)
+
+func TestCalls(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	self := member.Beat{
+		Instance: "b", DataCentre: "y", Address: netip.MustParseAddrPort("127.0.0.1:7002"), Version: 3,
+		Uptime: 1500 * time.Millisecond, Draining: true,
+	}
+	caller := member.Beat{Instance: "a", DataCentre: "x", Address: netip.MustParseAddrPort("127.0.0.1:7001")}
+	var heard member.Beat
+	var pushed Update
+	var told Promotion
+	s := httptest.NewServer(NewHandler(Handlers{
+		Beat: func(_ context.Context, b member.Beat) member.Beat { heard = b; return self },
+		Pull: func(_ context.Context, version uint64) Update {
+			return Update{Version: version + 1, Document: &patch.Document{Version: version + 1}}
+		},
+		Push: func(_ context.Context, u Update) (uint64, error) { pushed = u; return u.Version, nil },
+		Opinion: func(_ context.Context, r OpinionRequest) Opinion {
+			return Opinion{Known: true, Term: r.Term + 1, Silent: time.Second, Stalled: time.Minute}
+		},
+		Promoted: func(_ context.Context, p Promotion) { told = p },
+	}))
+	defer s.Close()
+	to := netip.MustParseAddrPort(s.Listener.Addr().String())
+	c := NewClient()
+
+	b, err := c.Beat(ctx, to, caller)
+	is.NoErr(err)
+	is.Equal(b, self)
+	is.Equal(heard, caller)
+
+	u, err := c.Pull(ctx, to, 4)
+	is.NoErr(err)
+	is.Equal(u.Document.Version, uint64(5))
+
+	sent := Update{
+		Version: 5, Onward: []netip.AddrPort{to},
+		Entries: []patch.Entry{{Version: 5, Base: 4, ID: "p", Patch: []byte(`{}`)}},
+	}
+	v, err := c.Push(ctx, to, sent)
+	is.NoErr(err)
+	is.Equal(v, uint64(5))
+	is.Equal(pushed, sent)
+
+	o, err := c.Opinion(ctx, to, OpinionRequest{Group: "g", Term: 7})
+	is.NoErr(err)
+	is.Equal(o, Opinion{Known: true, Term: 8, Silent: time.Second, Stalled: time.Minute})
+
+	p := Promotion{Group: "g", Term: 8, Endpoint: "e"}
+	is.NoErr(c.Promoted(ctx, to, p))
+	is.Equal(told, p)
+}
+
+func TestNotOffered(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(NewHandler(Handlers{}))
+	defer s.Close()
+	to := netip.MustParseAddrPort(s.Listener.Addr().String())
+	_, err := NewClient().Beat(context.Background(), to, member.Beat{Instance: "a", DataCentre: "x"})
+	is.True(err != nil)
+	_, err = NewClient().Pull(context.Background(), to, 1)
+	is.True(err != nil)
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,99 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"anviltack/core"
+	"anviltack/core/member"
+	"anviltack/io/peer/wire"
+)
+
+// maxRequestBytes bounds what a peer may send in one request.
+const maxRequestBytes = 4 << 20
+
+// Handlers answer the calls of other instances; a nil one is not offered.
+type Handlers struct {
+	Beat     func(ctx context.Context, b member.Beat) member.Beat
+	Pull     func(ctx context.Context, version uint64) Update
+	Push     func(ctx context.Context, u Update) (uint64, error)
+	Opinion  func(ctx context.Context, r OpinionRequest) Opinion
+	Promoted func(ctx context.Context, p Promotion)
+}
+
+// NewHandler returns the HTTP handler of the peer protocol.
+func NewHandler(h Handlers) http.Handler {
+	return http.MaxBytesHandler(wire.NewPeerServer(&server{h: h}), maxRequestBytes)
+}
+
+// server implements the generated service.
+type server struct {
+	h Handlers
+}
+
+func notOffered(name string) error {
+	return twirp.NewError(twirp.Unimplemented, name+" is not offered")
+}
+
+// Beat answers a heartbeat.
+func (s *server) Beat(ctx context.Context, m *wire.Heartbeat) (*wire.Heartbeat, error) {
+	if s.h.Beat == nil {
+		return nil, notOffered("Beat")
+	}
+	b, err := decodeBeat(m)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("heartbeat", err.Error())
+	}
+	return encodeBeat(s.h.Beat(ctx, b)), nil
+}
+
+// Pull answers with a newer configuration.
+func (s *server) Pull(ctx context.Context, m *wire.PullRequest) (*wire.Document, error) {
+	if s.h.Pull == nil {
+		return nil, notOffered("Pull")
+	}
+	d, err := encodeUpdate(s.h.Pull(ctx, m.GetVersion()))
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return d, nil
+}
+
+// Push takes an update in.
+func (s *server) Push(ctx context.Context, m *wire.Document) (*wire.Acknowledgement, error) {
+	if s.h.Push == nil {
+		return nil, notOffered("Push")
+	}
+	u, err := decodeUpdate(m)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("document", err.Error())
+	}
+	version, err := s.h.Push(ctx, u)
+	if err != nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	}
+	return &wire.Acknowledgement{Version: version}, nil
+}
+
+// Opinion tells what this instance sees of a group's primary.
+func (s *server) Opinion(ctx context.Context, m *wire.OpinionRequest) (*wire.OpinionReply, error) {
+	if s.h.Opinion == nil {
+		return nil, notOffered("Opinion")
+	}
+	o := s.h.Opinion(ctx, OpinionRequest{Group: core.Group(m.GetGroup()), Term: m.GetTerm()})
+	return &wire.OpinionReply{
+		Known: o.Known, Term: o.Term,
+		SilentMs: uint64(max(o.Silent.Milliseconds(), 0)), StalledMs: uint64(max(o.Stalled.Milliseconds(), 0)),
+	}, nil
+}
+
+// Promoted takes in news of a promotion.
+func (s *server) Promoted(ctx context.Context, m *wire.Promotion) (*wire.Acknowledgement, error) {
+	if s.h.Promoted == nil {
+		return nil, notOffered("Promoted")
+	}
+	s.h.Promoted(ctx, Promotion{Group: core.Group(m.GetGroup()), Term: m.GetTerm(), Endpoint: core.Endpoint(m.GetEndpoint())})
+	return &wire.Acknowledgement{}, nil
+}
