--- a/core/event.go
+++ b/core/event.go
@@ -9,8 +9,11 @@
 	EventStopped      Event = 101
 	EventService      Event = 102
 	EventListening    Event = 103
+	EventDraining     Event = 104
+	EventCut          Event = 105
 	EventConfig       Event = 200
 	EventConfigSource Event = 201
+	EventConfigBehind Event = 202
 	EventPrimary      Event = 300
 	EventSampleFailed Event = 301
 	EventSession      Event = 400
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -56,4 +56,8 @@
 	// Uptime tells one process from an earlier one of the same name.
 	Uptime   time.Duration
 	Draining bool
+	// Leaving are the endpoints that the platform's list calls leaving, as of
+	// the index LeavingIndex of that list.
+	Leaving      []core.Endpoint
+	LeavingIndex uint64
 }
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -15,9 +16,11 @@
 	defaultForget   = time.Minute
 	defaultEveryone = 16
 	defaultRing     = 4
-	defaultFanOut   = 4
 )
 
+// DefaultFanOut is to how many instances each one hands a new configuration.
+const DefaultFanOut = 4
+
 // neverHeard is the Silent of a member without a heartbeat.
 const neverHeard = -1
 
@@ -71,7 +74,7 @@
 	self.State = StateLive
 	t := &Table{
 		self: self, records: make(map[core.Instance]*record), silence: defaultSilence,
-		forget: defaultForget, everyone: defaultEveryone, ring: defaultRing, fanOut: defaultFanOut,
+		forget: defaultForget, everyone: defaultEveryone, ring: defaultRing, fanOut: DefaultFanOut,
 	}
 	for _, o := range options {
 		o(t)
@@ -120,6 +123,15 @@
 	r.Version = max(r.Version, b.Version)
 }
 
+// Acknowledge notes the version that an instance told of in answer to a push.
+func (t *Table) Acknowledge(address netip.AddrPort, version uint64) {
+	for _, r := range t.records {
+		if r.Address == address {
+			r.Version = max(r.Version, version)
+		}
+	}
+}
+
 func (t *Table) record(now time.Time, name core.Instance) *record {
 	r, ok := t.records[name]
 	if !ok {
--- a/instance/control.go
+++ b/instance/control.go
@@ -18,17 +18,22 @@
 	instance *Instance
 	samplers *suture.Supervisor
 	events   chan func(now time.Time)
-	version  uint64
-	groups   map[core.Group]*groupControl
+	// config is in force; nil before the first one.
+	config  *patch.Config
+	version uint64
+	fleet   *fleet
+	groups  map[core.Group]*groupControl
 }
 
 func newControl(in *Instance, samplers *suture.Supervisor) *control {
-	return &control{
+	c := &control{
 		instance: in,
 		samplers: samplers,
 		events:   make(chan func(time.Time), controlQueue),
 		groups:   make(map[core.Group]*groupControl),
 	}
+	c.fleet = newFleet(c)
+	return c
 }
 
 // Serve handles events until the context ends.
@@ -65,7 +70,7 @@
 	if version <= c.version {
 		return
 	}
-	c.version = version
+	c.version, c.config = version, config
 	view := &View{Version: version, Config: config, Groups: make(map[core.Group]*Group, len(config.Groups))}
 	for name, group := range config.Groups {
 		g, ok := c.groups[name]
@@ -73,7 +78,7 @@
 			g = newGroupControl(c, name)
 			c.groups[name] = g
 		}
-		g.configure(group)
+		g.configure(c.fleet.overlay(group))
 		view.Groups[name] = g.group
 	}
 	for name, g := range c.groups {
@@ -85,3 +90,10 @@
 	c.instance.view.Store(view)
 	c.instance.event(core.EventConfig).WithField("version", version).Info("configuration in force")
 }
+
+// reconfigure hands the configuration in force to the groups again.
+func (c *control) reconfigure() {
+	for name, g := range c.groups {
+		g.configure(c.fleet.overlay(c.config.Groups[name]))
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,8 @@
 
 	"anviltack/core"
 	"anviltack/core/patch"
+	"anviltack/io/peer"
+	"anviltack/io/platform"
 	"anviltack/settings"
 )
 
@@ -27,6 +30,14 @@
 	control  *control
 	sessions *sessions
 	watch    Watch
+	platform platform.Platform
+	list     platform.List
+	peers    *peer.Client
+	fleet    atomic.Pointer[fleetView]
+	drainer  drainer
+	started  time.Time
+	spreads  chan spread
+	pulls    chan netip.AddrPort
 }
 
 // Watch returns the configuration that follows a version, once there is one.
@@ -45,6 +56,12 @@
 	return func(in *Instance) { in.watch = w }
 }
 
+// WithPlatform makes the instance take its configuration from the platform and
+// its peers, and stand on the platform's list.
+func WithPlatform(p platform.Platform, l platform.List) Option {
+	return func(in *Instance) { in.platform, in.list = p, l }
+}
+
 // New returns an instance that does not run yet.
 func New(s settings.Settings, options ...Option) *Instance {
 	in := &Instance{
@@ -52,7 +69,12 @@
 		log:      logrus.New(),
 		metrics:  metrics.NewRegistry(),
 		sessions: newSessions(),
+		peers:    peer.NewClient(),
+		started:  time.Now(),
+		spreads:  make(chan spread, spreadQueue),
+		pulls:    make(chan netip.AddrPort, pullQueue),
 	}
+	in.drainer = drainer{instance: in, begin: make(chan struct{})}
 	in.counts = newCounts(in.metrics)
 	for _, o := range options {
 		o(in)
@@ -64,7 +86,7 @@
 // View returns the newest view of the control state.
 func (in *Instance) View() *View { return in.view.Load() }
 
-// Serve runs the instance until the context ends.
+// Serve runs the instance until the context ends or a planned stop is done.
 func (in *Instance) Serve(ctx context.Context) error {
 	root := in.supervisor("instance")
 	samplers := in.supervisor("samplers")
@@ -72,16 +94,35 @@
 	in.control = newControl(in, samplers)
 	root.Add(in.control)
 	root.Add(&listener{instance: in})
-	root.Add(&watcher{instance: in})
+	in.addFleet(root)
+	root.Add(&in.drainer)
 	in.event(core.EventStarted).WithField("callers", in.settings.Callers).Info("started")
 	err := root.Serve(ctx)
 	in.event(core.EventStopped).Info("stopped")
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && !in.isDraining() {
 		return fmt.Errorf("instance: could not go on: %w", err)
 	}
 	return nil
 }
 
+// addFleet adds the services of configuration, membership and operators.
+func (in *Instance) addFleet(root *suture.Supervisor) {
+	if in.watch != nil {
+		root.Add(&watcher{instance: in})
+	}
+	if in.platform.Watch != nil {
+		root.Add(&configWatcher{instance: in})
+		root.Add(&lister{instance: in})
+		root.Add(&endpointLister{instance: in})
+	}
+	root.Add(&ticker{instance: in})
+	root.Add(&beater{instance: in})
+	root.Add(&puller{instance: in})
+	root.Add(&spreader{instance: in})
+	root.Add(&httpServer{name: "peers", address: in.settings.Peers, handler: peer.NewHandler(in.peerHandlers())})
+	root.Add(&httpServer{name: "operators", address: in.settings.Operators, handler: in.operatorServer().Handler()})
+}
+
 // event starts a log line for a numbered event.
 func (in *Instance) event(e core.Event) *logrus.Entry {
 	return in.log.WithFields(logrus.Fields{"event": int(e), "instance": in.settings.Instance})
--- /dev/null
+++ b/instance/server.go
@@ -0,0 +1,138 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"anviltack/core/member"
+	"anviltack/core/patch"
+	"anviltack/io/operator"
+	"anviltack/io/platform"
+)
+
+// Bounds of the HTTP servers.
+const (
+	headerLimit = 5 * time.Second
+	idleLimit   = 2 * time.Minute
+	// submitLimit bounds the submission of one patch, the settling of lost
+	// answers included.
+	submitLimit = 8 * time.Second
+	submitPause = 50 * time.Millisecond
+	maxPause    = time.Second
+)
+
+// httpServer serves one address.
+type httpServer struct {
+	name    string
+	address netip.AddrPort
+	handler http.Handler
+}
+
+// String names the service in logs.
+func (s *httpServer) String() string { return s.name }
+
+// Serve answers requests until the context ends.
+func (s *httpServer) Serve(ctx context.Context) error {
+	var config net.ListenConfig
+	socket, err := config.Listen(ctx, "tcp", s.address.String())
+	if err != nil {
+		return fmt.Errorf("instance: could not listen for %s: %w", s.name, err)
+	}
+	server := http.Server{Handler: s.handler, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err = server.Serve(socket)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return fmt.Errorf("instance: %s server ended: %w", s.name, err)
+}
+
+var errNoPlatform = errors.New("instance: there is no platform")
+
+// operatorServer answers operators.
+func (in *Instance) operatorServer() operator.Server {
+	return operator.Server{
+		Token:   in.settings.Token,
+		Metrics: in.metrics,
+		Dump:    func() any { return in.Dump() },
+		Status:  in.status,
+		InForce: func() patch.Document { return in.fleet.Load().document },
+		Stored:  in.stored,
+		Submit:  in.submit,
+	}
+}
+
+// stored reads the document of the platform.
+func (in *Instance) stored(ctx context.Context) (patch.Document, error) {
+	if in.platform.Get == nil {
+		return patch.Document{}, &patch.UnavailableError{Err: errNoPlatform}
+	}
+	e, err := in.platform.Get(ctx, patch.Key)
+	if err != nil {
+		return patch.Document{}, &patch.UnavailableError{Err: err}
+	}
+	if e.Index == 0 {
+		return patch.Document{}, nil
+	}
+	return patch.Parse(e.Value)
+}
+
+// submit brings a patch in and adopts what it led to.
+func (in *Instance) submit(ctx context.Context, r patch.Request) (uint64, error) {
+	if in.platform.Swap == nil {
+		return 0, &patch.UnavailableError{Err: errNoPlatform}
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitLimit)
+	defer cancel()
+	d, version, err := submitter(in.platform).Submit(ctx, r, time.Now(), in.fleet.Load().document.Version)
+	if err != nil {
+		return 0, err
+	}
+	in.control.post(ctx, func(now time.Time) { in.control.fleet.offer(now, d, patch.SourceOperator) })
+	return version, nil
+}
+
+func submitter(p platform.Platform) patch.Submitter {
+	return patch.Submitter{
+		Get: func(ctx context.Context) (patch.Stored, error) {
+			e, err := p.Get(ctx, patch.Key)
+			return patch.Stored{Index: e.Index, Value: e.Value}, err
+		},
+		Swap: func(ctx context.Context, index uint64, value []byte) (bool, error) {
+			won, err := p.Swap(ctx, patch.Key, index, value)
+			if err != nil && !platform.IsUnknown(err) {
+				return false, nil
+			}
+			return won, err
+		},
+		Wait: func(ctx context.Context, attempt int) error {
+			sleep(ctx, min(submitPause*time.Duration(attempt), maxPause))
+			return ctx.Err()
+		},
+	}
+}
+
+// status is what this instance knows of groups, endpoints and instances.
+func (in *Instance) status() operator.Status {
+	f := in.fleet.Load()
+	s := operator.Status{
+		Instance: f.self.Instance, DataCentre: f.self.DataCentre, Version: in.View().Version, Source: f.source,
+		Draining: f.self.State == member.StateLeaving, Watching: f.watching, Instances: f.members,
+	}
+	for _, g := range in.Dump().Groups {
+		group := operator.GroupStatus{Group: g.Group, Term: g.Term, Primary: g.Primary}
+		for _, m := range g.Members {
+			group.Endpoints = append(group.Endpoints, operator.EndpointStatus{
+				Endpoint: m.Endpoint, DataCentre: m.DataCentre, Role: m.Status.Role, Leaving: m.Leaving, Applied: m.Status.Applied,
+			})
+		}
+		s.Groups = append(s.Groups, group)
+	}
+	return s
+}
--- a/instance/session.go
+++ b/instance/session.go
@@ -90,6 +90,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if in.isDraining() {
+		return nil, draining()
+	}
 	view := in.View()
 	known := view.Config.Callers[login.Caller]
 	if err := conn.Authenticate(known.Secret); err != nil {
@@ -116,7 +119,7 @@
 			return nil, e
 		}
 	}
-	if s.sessionEntry, err = in.sessions.add(in.settings.Sessions); err != nil {
+	if s.sessionEntry, err = in.sessions.add(in.settings.Sessions, conn.SetReadDeadline); err != nil {
 		return nil, err
 	}
 	in.counts.sessions.Inc(1)
@@ -152,7 +155,13 @@
 // run serves units until the caller ends the session.
 func (s *session) run() error {
 	for {
+		if s.held == nil && s.instance.isDraining() {
+			return draining()
+		}
 		u, err := s.nextUnit()
+		if err != nil && s.isEnding() {
+			return draining()
+		}
 		if err != nil || u == nil {
 			return err
 		}
@@ -160,10 +169,15 @@
 		if err := s.serveUnit(u); err != nil {
 			return err
 		}
-		s.rest()
+		s.rest(s.held != nil)
 	}
 }
 
+// draining tells a caller between requests that the instance is stopping.
+func draining() *core.Error {
+	return core.NewError(core.CodeDraining, "the instance is stopping, connect again")
+}
+
 // limit is how long a statement may take.
 func (s *session) limit(a annotation) time.Duration {
 	if a.deadline > 0 {
--- a/instance/sessions.go
+++ b/instance/sessions.go
@@ -34,14 +34,21 @@
 	cancelled bool
 	// idle tells that the session waits for its caller.
 	idle bool
+	// inTransaction tells that a transaction was open when the session went idle.
+	inTransaction bool
+	// ending tells that the session was told to end before its next request.
+	ending bool
+	// interrupt sets the deadline of the session's read from its caller.
+	interrupt func(time.Time)
 }
 
 func newSessions() *sessions {
 	return &sessions{entries: make(map[uint32]*sessionEntry)}
 }
 
-// add registers a session unless there are limit of them.
-func (s *sessions) add(limit int) (*sessionEntry, error) {
+// add registers a session unless there are limit of them; interrupt sets the
+// deadline of its read from the caller.
+func (s *sessions) add(limit int, interrupt func(time.Time)) (*sessionEntry, error) {
 	var secret [4]byte
 	if _, err := rand.Read(secret[:]); err != nil {
 		return nil, err
@@ -53,7 +60,7 @@
 	}
 	for s.next++; s.entries[s.next] != nil || s.next == 0; s.next++ {
 	}
-	e := &sessionEntry{key: caller.CancelKey{Process: s.next, Secret: binary.BigEndian.Uint32(secret[:])}, idle: true}
+	e := &sessionEntry{key: caller.CancelKey{Process: s.next, Secret: binary.BigEndian.Uint32(secret[:])}, idle: true, interrupt: interrupt}
 	s.entries[s.next] = e
 	return e, nil
 }
@@ -102,16 +109,68 @@
 	return !e.cancelled
 }
 
+// busy notes that a request arrived; a session that was told to end serves it
+// first.
 func (e *sessionEntry) busy() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.idle = false
+	if e.ending {
+		e.ending = false
+		e.interrupt(time.Time{})
+	}
 }
 
-func (e *sessionEntry) rest() {
+// rest notes that the session waits for its caller.
+func (e *sessionEntry) rest(inTransaction bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.idle = true
+	e.inTransaction = inTransaction
+}
+
+// isEnding reports whether the session was told to end between requests.
+func (e *sessionEntry) isEnding() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ending
+}
+
+// endIdle makes every session end that waits for its caller outside a
+// transaction.
+func (s *sessions) endIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.entries {
+		e.endIdle()
+	}
+}
+
+func (e *sessionEntry) endIdle() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.idle && !e.inTransaction {
+		e.ending = true
+		e.interrupt(time.Now())
+	}
+}
+
+// remaining counts the sessions whose statement runs and those that are idle in
+// a transaction.
+func (s *sessions) remaining() (running, open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.entries {
+		e.mu.Lock()
+		switch {
+		case !e.idle:
+			running++
+		case e.inTransaction:
+			open++
+		}
+		e.mu.Unlock()
+	}
+	return running, open
 }
 
 func cutPrefixFold(s, prefix string) (string, bool) {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"anviltack/core/member"
 	"anviltack/io/peer/wire"
 )
@@ -109,3 +112,10 @@
 	}
 	return nil
 }
+
+// IsBehind reports whether a push failed because the receiver cannot follow from
+// the version that it holds.
+func IsBehind(err error) bool {
+	var t twirp.Error
+	return errors.As(err, &t) && t.Code() == twirp.FailedPrecondition
+}
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -22,6 +22,8 @@
 	Entries []patch.Entry
 	// Onward are the instances to which the receiver hands the update on.
 	Onward []netip.AddrPort
+	// From is the data centre of the sender.
+	From core.DataCentre
 }
 
 // OpinionRequest asks what a peer sees of a group's primary.
@@ -50,10 +52,15 @@
 }
 
 func encodeBeat(b member.Beat) *wire.Heartbeat {
-	return &wire.Heartbeat{
+	m := &wire.Heartbeat{
 		Instance: string(b.Instance), DataCentre: string(b.DataCentre), Address: b.Address.String(),
 		Version: b.Version, UptimeMs: uint64(max(b.Uptime.Milliseconds(), 0)), Draining: b.Draining,
+		LeavingIndex: b.LeavingIndex,
 	}
+	for _, e := range b.Leaving {
+		m.Leaving = append(m.Leaving, string(e))
+	}
+	return m
 }
 
 func decodeBeat(m *wire.Heartbeat) (member.Beat, error) {
@@ -64,14 +71,19 @@
 	if m.GetInstance() == "" || m.GetDataCentre() == "" {
 		return member.Beat{}, fmt.Errorf("peer: bad heartbeat: no name")
 	}
-	return member.Beat{
+	b := member.Beat{
 		Instance: core.Instance(m.GetInstance()), DataCentre: core.DataCentre(m.GetDataCentre()), Address: address,
 		Version: m.GetVersion(), Uptime: milliseconds(m.GetUptimeMs()), Draining: m.GetDraining(),
-	}, nil
+		LeavingIndex: m.GetLeavingIndex(),
+	}
+	for _, e := range m.GetLeaving() {
+		b.Leaving = append(b.Leaving, core.Endpoint(e))
+	}
+	return b, nil
 }
 
 func encodeUpdate(u Update) (*wire.Document, error) {
-	m := &wire.Document{Version: u.Version}
+	m := &wire.Document{Version: u.Version, DataCentre: string(u.From)}
 	var err error
 	if u.Document != nil {
 		if m.Body, err = u.Document.Encode(); err != nil {
@@ -90,7 +102,7 @@
 }
 
 func decodeUpdate(m *wire.Document) (Update, error) {
-	u := Update{Version: m.GetVersion()}
+	u := Update{Version: m.GetVersion(), From: core.DataCentre(m.GetDataCentre())}
 	if len(m.GetBody()) > 0 {
 		d, err := patch.Parse(m.GetBody())
 		if err != nil {
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"anviltack/core"
 	"anviltack/core/member"
 	"anviltack/core/patch"
 )
@@ -18,7 +19,7 @@
 	ctx := context.Background()
 	self := member.Beat{
 		Instance: "b", DataCentre: "y", Address: netip.MustParseAddrPort("127.0.0.1:7002"), Version: 3,
-		Uptime: 1500 * time.Millisecond, Draining: true,
+		Uptime: 1500 * time.Millisecond, Draining: true, Leaving: []core.Endpoint{"e1"}, LeavingIndex: 9,
 	}
 	caller := member.Beat{Instance: "a", DataCentre: "x", Address: netip.MustParseAddrPort("127.0.0.1:7001")}
 	var heard member.Beat
@@ -49,7 +50,7 @@
 	is.Equal(u.Document.Version, uint64(5))
 
 	sent := Update{
-		Version: 5, Onward: []netip.AddrPort{to},
+		Version: 5, Onward: []netip.AddrPort{to}, From: "x",
 		Entries: []patch.Entry{{Version: 5, Base: 4, ID: "p", Patch: []byte(`{}`)}},
 	}
 	v, err := c.Push(ctx, to, sent)
--- a/io/platform/list.go
+++ b/io/platform/list.go
@@ -11,13 +11,14 @@
 	"anviltack/core/member"
 )
 
-// The names under which instances stand on the list.
+// The names under which instances and endpoints stand on the list.
 const (
-	serviceName  = "anviltack"
-	stateLive    = "live"
-	stateLeaving = "leaving"
-	metaCentre   = "data_centre"
-	metaState    = "state"
+	instanceService = "anviltack"
+	endpointService = "anviltack-endpoint"
+	stateLive       = "live"
+	stateLeaving    = "leaving"
+	metaCentre      = "data_centre"
+	metaState       = "state"
 )
 
 func (c *Client) register(ctx context.Context, l member.Listing) error {
@@ -32,7 +33,7 @@
 		Port    uint16
 		Meta    map[string]string
 	}{
-		ID: l.Instance, Name: serviceName, Address: l.Address.Addr().String(), Port: l.Address.Port(),
+		ID: l.Instance, Name: instanceService, Address: l.Address.Addr().String(), Port: l.Address.Port(),
 		Meta: map[string]string{metaCentre: string(l.DataCentre), metaState: state},
 	})
 	if err != nil {
@@ -45,36 +46,62 @@
 	return c.put(ctx, "deregister", "/v1/agent/service/deregister/"+string(i), nil, nil)
 }
 
-func (c *Client) list(ctx context.Context, after uint64) ([]member.Listing, uint64, error) {
-	path := "/v1/health/service/" + serviceName + c.blocking(after)
+// service is one entry of the list as the platform answers it.
+type service struct {
+	ID      string
+	Address string
+	Port    uint16
+	Meta    map[string]string
+}
+
+func (c *Client) services(ctx context.Context, name string, after uint64) ([]service, uint64, error) {
+	path := "/v1/health/service/" + name + c.blocking(after)
 	a, err := c.do(ctx, call{name: "list", method: http.MethodGet, path: path, timeout: c.wait + waitSlack})
 	if err != nil {
 		return nil, 0, err
 	}
-	var entries []struct {
-		Service struct {
-			ID      core.Instance
-			Address string
-			Port    uint16
-			Meta    map[string]string
-		}
-		Checks []struct{ Status string }
-	}
+	var entries []struct{ Service service }
 	if err := json.Unmarshal(a.body, &entries); err != nil {
 		return nil, 0, &Error{Call: "list", Outcome: OutcomeDidNotHappen, Status: a.status, Err: err}
 	}
-	list := make([]member.Listing, 0, len(entries))
+	list := make([]service, 0, len(entries))
 	for _, e := range entries {
-		ip, err := netip.ParseAddr(e.Service.Address)
+		list = append(list, e.Service)
+	}
+	return list, a.index, nil
+}
+
+func (c *Client) list(ctx context.Context, after uint64) ([]member.Listing, uint64, error) {
+	services, index, err := c.services(ctx, instanceService, after)
+	if err != nil {
+		return nil, 0, err
+	}
+	list := make([]member.Listing, 0, len(services))
+	for _, s := range services {
+		ip, err := netip.ParseAddr(s.Address)
 		if err != nil {
 			continue
 		}
 		list = append(list, member.Listing{
-			Instance:   e.Service.ID,
-			DataCentre: core.DataCentre(e.Service.Meta[metaCentre]),
-			Address:    netip.AddrPortFrom(ip, e.Service.Port),
-			Leaving:    e.Service.Meta[metaState] == stateLeaving,
+			Instance:   core.Instance(s.ID),
+			DataCentre: core.DataCentre(s.Meta[metaCentre]),
+			Address:    netip.AddrPortFrom(ip, s.Port),
+			Leaving:    s.Meta[metaState] == stateLeaving,
 		})
 	}
-	return list, a.index, nil
+	return list, index, nil
+}
+
+func (c *Client) endpoints(ctx context.Context, after uint64) ([]core.Endpoint, uint64, error) {
+	services, index, err := c.services(ctx, endpointService, after)
+	if err != nil {
+		return nil, 0, err
+	}
+	var leaving []core.Endpoint
+	for _, s := range services {
+		if s.Meta[metaState] == stateLeaving {
+			leaving = append(leaving, core.Endpoint(s.ID))
+		}
+	}
+	return leaving, index, nil
 }
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -49,6 +49,9 @@
 	// Watch waits until the list changes after an index, or for some time, and
 	// returns it with its index.
 	Watch func(ctx context.Context, after uint64) ([]member.Listing, uint64, error)
+	// Endpoints waits as Watch does and returns the endpoints that the list
+	// calls leaving.
+	Endpoints func(ctx context.Context, after uint64) ([]core.Endpoint, uint64, error)
 }
 
 // Outcome tells what is known of a call that failed.
@@ -139,5 +142,5 @@
 
 // List returns the list of instances.
 func (c *Client) List() List {
-	return List{Register: c.register, Deregister: c.deregister, Watch: c.list}
+	return List{Register: c.register, Deregister: c.deregister, Watch: c.list, Endpoints: c.endpoints}
 }
