--- a/instance/session.go
+++ b/instance/session.go
@@ -119,7 +119,8 @@
 			return nil, e
 		}
 	}
-	if s.sessionEntry, err = in.sessions.add(in.settings.Sessions, conn.SetReadDeadline); err != nil {
+	s.login.Parameters = nil
+	if s.sessionEntry, err = in.sessions.add(in.settings.Sessions, conn.Interrupt); err != nil {
 		return nil, err
 	}
 	in.counts.sessions.Inc(1)
