Give an outlook of each replica's pace as a value and part tokens by @

A traffic goroutine needs what a pace tells without sharing the pace, so Outlook is a value of its own. A wait now ends at its limit or with a new sample, not at a fixed poll. The token parts groups and points by @, because = is what parts names and values in start-up options and in SET.

--- a/core/mark/token.go
+++ b/core/mark/token.go
@@ -16,7 +16,7 @@
 	checkDigits   = 8
 )
 
-// String returns the marks as a token: "1:", then GROUP=TERM.POSITION of each
+// String returns the marks as a token: "1:", then GROUP@TERM.POSITION of each
 // group in order with commas between, ":" and a CRC-32 of all before it in
 // hexadecimal. A group whose name has no place in a token is left out, so the
 // next session reads it as fresh as of its arrival.
@@ -39,7 +39,7 @@
 		}
 		first = false
 		b = append(b, e.group...)
-		b = append(b, '=')
+		b = append(b, '@')
 		b = strconv.AppendUint(b, e.point.Term, 10)
 		b = append(b, '.')
 		b = strconv.AppendUint(b, e.point.Position, 10)
@@ -107,7 +107,7 @@
 	}
 	entries := make([]entry, 0, len(parts))
 	for i, part := range parts {
-		name, text, ok := strings.Cut(part, "=")
+		name, text, ok := strings.Cut(part, "@")
 		if !ok || !isName(name) {
 			return nil, badMark("group %d has no proper name", i+1)
 		}
--- a/core/route/pace.go
+++ b/core/route/pace.go
@@ -98,58 +98,74 @@
 	p.rate.add(float64(visible.Position-p.visible.Position) / d)
 }
 
-// Lag returns how long after the group the replica shows a point: the usual
-// time, or longer when a point is overdue.
-func (p *Pace) Lag(now time.Time) (time.Duration, bool) {
-	d, known := time.Duration(p.lag.value), p.lag.known
+// Outlook returns what the pace tells of the time to come.
+func (p *Pace) Outlook() Outlook {
+	o := Outlook{Visible: p.visible, Sampled: p.sampled, Lag: time.Duration(p.lag.value), Known: p.lag.known, Rate: p.rate.value}
 	if len(p.targets) > 0 {
-		if late := now.Sub(p.targets[0].at); late > d {
+		o.Due = p.targets[0].at
+	}
+	return o
+}
+
+// Outlook is what is known of how one replica follows its primary.
+type Outlook struct {
+	// Visible is the point that the replica showed when asked at Sampled.
+	Visible core.Point
+	Sampled time.Time
+	// Lag is how long after the group the replica usually shows a point; it
+	// means something only if Known.
+	Lag   time.Duration
+	Known bool
+	// Rate is the positions per second by which the replica went on.
+	Rate float64
+	// Due is when the group reached the oldest point that the replica has yet
+	// to show; zero when there is none.
+	Due time.Time
+}
+
+// lag returns how long after the group the replica shows a point: the usual
+// time, or longer when a point is overdue.
+func (o Outlook) lag(now time.Time) (time.Duration, bool) {
+	if !o.Due.IsZero() {
+		if late := now.Sub(o.Due); late > o.Lag {
 			return late, true
 		}
 	}
-	return d, known
+	return o.Lag, o.Known
 }
 
-func (p *Pace) isBehind(now time.Time) bool {
-	if len(p.targets) == 0 {
-		return false
-	}
-	usual := max(lateFactor*time.Duration(p.lag.value), leastLate)
-	return now.Sub(p.targets[0].at) > usual
+func (o Outlook) isBehind(now time.Time) bool {
+	return !o.Due.IsZero() && now.Sub(o.Due) > max(lateFactor*o.Lag, leastLate)
 }
 
-// CoversAt returns when the replica should show a point that the group reached
+// coversAt returns when the replica should show a point that the group reached
 // at a time. A replica that keeps up is expected after its usual lag, one that
 // is behind when its rate has brought it there.
-func (p *Pace) CoversAt(point core.Point, at, now time.Time) (time.Time, bool) {
-	if p.visible.Covers(point) {
+func (o Outlook) coversAt(point core.Point, at, now time.Time) (time.Time, bool) {
+	if o.Visible.Covers(point) {
 		return now, true
 	}
-	if !p.isBehind(now) {
-		if !p.lag.known {
-			return time.Time{}, false
-		}
-		return latest(at.Add(time.Duration(p.lag.value)), now), true
+	if !o.isBehind(now) {
+		return latest(at.Add(o.Lag), now), o.Known
 	}
-	if p.rate.value <= 0 || point.Position <= p.visible.Position {
+	if o.Rate <= 0 || point.Position <= o.Visible.Position {
 		return time.Time{}, false
 	}
-	gap := float64(point.Position - p.visible.Position)
-	seconds := gap / p.rate.value
+	seconds := float64(point.Position-o.Visible.Position) / o.Rate
 	if seconds > maxRetryAfter.Seconds() {
 		return time.Time{}, false
 	}
-	return latest(p.sampled.Add(time.Duration(seconds*float64(time.Second))), now), true
+	return latest(o.Sampled.Add(time.Duration(seconds*float64(time.Second))), now), true
 }
 
 // Expected returns when the replica should satisfy a need whose point the group
 // reached at reached.
-func (p *Pace) Expected(n mark.Need, reached, now time.Time) (time.Time, bool) {
-	t, ok := p.CoversAt(n.Point, reached, now)
+func (o Outlook) Expected(n mark.Need, reached, now time.Time) (time.Time, bool) {
+	t, ok := o.coversAt(n.Point, reached, now)
 	if !ok {
 		return time.Time{}, false
 	}
-	lag, ok := p.Lag(now)
+	lag, ok := o.lag(now)
 	if !ok {
 		return time.Time{}, false
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -37,7 +37,6 @@
 	DefaultWaitLimit  = 30 * time.Millisecond
 	DefaultRetryAfter = 250 * time.Millisecond
 	maxRetryAfter     = 10 * time.Second
-	pollInterval      = time.Millisecond
 )
 
 // Action is what to do with a read.
@@ -99,8 +98,8 @@
 	// Endpoint is where to run the read, or which endpoint is waited for; it is
 	// empty when nothing is expected of any.
 	Endpoint core.Endpoint
-	// Until is when a wait ends if nothing changes sooner; the request is then
-	// put again.
+	// Until is when a wait ends if nothing changes sooner. The request is put
+	// again then, and with every new sample.
 	Until time.Time
 	// Err is the answer to a refused read.
 	Err *core.Error
@@ -160,7 +159,7 @@
 		limit = r.limit(q, primary)
 	}
 	if c := r.awaited(q, now, limit); c != nil {
-		return Choice{Action: ActionWait, Endpoint: c.Endpoint, Until: earliest(limit, now.Add(pollInterval))}
+		return Choice{Action: ActionWait, Endpoint: c.Endpoint, Until: limit}
 	}
 	if primary != nil {
 		return Choice{Action: ActionPrimary, Endpoint: primary.Endpoint}
@@ -168,7 +167,7 @@
 	if c := r.pick(q, true); c != nil {
 		return Choice{Action: ActionReplica, Endpoint: c.Endpoint}
 	}
-	return Choice{Action: ActionWait, Until: earliest(q.Deadline, now.Add(pollInterval))}
+	return Choice{Action: ActionWait, Until: q.Deadline}
 }
 
 // limit returns until when a read may wait for a replica and still be answered
