Serve reads of a kind on replicas that are proved fresh enough

Cause: reads of a stated kind went to the primary whatever their age, and a session's mark and arrival were not used.

The control goroutine feeds every status, sampled or carried behind a statement, to the group's tracker and to each member's pace, and publishes how fresh each member is. A session chooses by core/route, waits for new samples when that is worth while (samplers do not rest meanwhile), runs the read as one flush with the status behind it, and passes the answer on only if the endpoint did not go back in between. A read on the primary waits until a majority asked after the read came holds its position. A read that fails goes to another endpoint, five at most; an endpoint whose sampler gets no answer is doubted and the reads on it are interrupted. Tokens are taken at start-up and by SET.

Faults found on the way: SET of anviltack's own parameters was passed on to the endpoint by the extended protocol, which drivers use by default, so the caller was told SET and nothing was set; a prepared statement kept the kind that the session had stated when it was prepared; a batch with a kind could end its read-only transaction by a COMMIT and write behind it, so a read of a kind is now one statement; the transaction ended by COMMIT, so a SET inside it would have outlived it, and ends by ROLLBACK now.

--- a/golden/golden_test.go
+++ b/golden/golden_test.go
@@ -52,6 +52,9 @@
 		return "there is a new primary\n"
 	case "await-rows":
 		return r.commandAwaitRows(d)
+	case "await-applied":
+		r.awaitApplied(argument(d, "endpoint"))
+		return ""
 	case "rows":
 		return r.rows(r.Primary())
 	}
@@ -106,6 +109,17 @@
 	return ""
 }
 
+// awaitApplied waits until an endpoint shows all that the primary shows.
+func (r script) awaitApplied(name string) {
+	var want, have endpoint.Stats
+	if err := r.Get(r.Primary(), "/stats", &want); err != nil {
+		return
+	}
+	r.Until(name+" applied the log", func() bool {
+		return r.Get(name, "/stats", &have) == nil && have.Status.Visible().Covers(want.Status.Visible())
+	})
+}
+
 func argument(d *datadriven.TestData, key string) string {
 	for _, a := range d.CmdArgs {
 		if a.Key == key && len(a.Vals) > 0 {
--- a/instance/annotation.go
+++ b/instance/annotation.go
@@ -79,26 +79,3 @@
 	}
 	return nil
 }
-
-// parameterStatement is a SET of one of anviltack's own parameters.
-type parameterStatement struct {
-	name  string
-	value string
-}
-
-// parseParameterStatement recognizes SET anviltack.NAME = 'VALUE' and
-// SET anviltack.NAME TO VALUE.
-func parseParameterStatement(sql string) (parameterStatement, bool) {
-	words := strings.Fields(strings.TrimRight(strings.ReplaceAll(sql, "=", " = "), " \t\r\n;"))
-	if len(words) == 5 && strings.EqualFold(words[1], "session") {
-		words = append(words[:1], words[2:]...)
-	}
-	if len(words) != 4 || !strings.EqualFold(words[0], "set") {
-		return parameterStatement{}, false
-	}
-	name, ok := strings.CutPrefix(strings.ToLower(words[1]), parameterPrefix)
-	if !ok || (words[2] != "=" && !strings.EqualFold(words[2], "to")) {
-		return parameterStatement{}, false
-	}
-	return parameterStatement{name: name, value: strings.Trim(words[3], "'\"")}, true
-}
--- a/instance/dump.go
+++ b/instance/dump.go
@@ -43,7 +43,11 @@
 	Leaving    bool            `json:"leaving"`
 	Status     core.Status     `json:"status"`
 	SampleAge  string          `json:"sample_age"`
-	Links      LinksDump       `json:"links"`
+	// FreshAge is how old the data of a read on the endpoint may be at most.
+	FreshAge string `json:"fresh_age"`
+	// Lag is how long after the group the endpoint usually shows a write.
+	Lag   string    `json:"lag"`
+	Links LinksDump `json:"links"`
 }
 
 // LinksDump is the state of the connections to one endpoint.
@@ -91,6 +95,8 @@
 			Leaving:    m.Leaving,
 			Status:     m.Status,
 			SampleAge:  age(now, m.SampledAt),
+			FreshAge:   age(now, m.FreshAsOf),
+			Lag:        m.Outlook.Lag.Round(time.Millisecond).String(),
 			Links:      m.links.dump(),
 		})
 	}
--- a/instance/group.go
+++ b/instance/group.go
@@ -7,7 +7,9 @@
 	"github.com/thejerf/suture/v4"
 
 	"anviltack/core"
+	"anviltack/core/mark"
 	"anviltack/core/patch"
+	"anviltack/core/route"
 )
 
 // groupControl is the control state of one group; only the control goroutine
@@ -19,6 +21,9 @@
 	// term is the highest term in which a primary was seen; it never falls.
 	term    uint64
 	primary core.Endpoint
+	tracker *mark.Tracker
+	// tracked are the names of the members that tracker knows, sorted.
+	tracked []core.Endpoint
 }
 
 // memberControl is the control state of one endpoint.
@@ -27,6 +32,7 @@
 	config  patch.Endpoint
 	wake    chan struct{}
 	sampler suture.ServiceToken
+	pace    route.Pace
 }
 
 func newGroupControl(c *control, name core.Group) *groupControl {
@@ -35,6 +41,7 @@
 		group:   &Group{Name: name},
 		members: make(map[core.Endpoint]*memberControl),
 	}
+	g.track()
 	g.publish()
 	return g
 }
@@ -55,7 +62,9 @@
 		m.config = e
 		m.member.Leaving = e.Leaving
 		m.member.DataCentre = e.DataCentre
+		m.member.Slots = e.Slots
 	}
+	g.track()
 	wake := make([]chan struct{}, 0, len(g.members))
 	for _, m := range g.members {
 		wake = append(wake, m.wake)
@@ -68,7 +77,7 @@
 	m := &memberControl{
 		config: e,
 		wake:   make(chan struct{}, 1),
-		member: Member{Name: name, DataCentre: e.DataCentre, links: newLinks(g.control.instance, name, e)},
+		member: Member{Name: name, DataCentre: e.DataCentre, links: newLinks(g.control.instance, name, e), load: newLoad()},
 	}
 	m.sampler = g.control.samplers.Add(newSampler(g, name, e.Address, m.wake))
 	g.members[name] = m
@@ -82,7 +91,7 @@
 }
 
 // sampled takes in a status that was asked for at sentAt.
-func (g *groupControl) sampled(name core.Endpoint, sentAt time.Time, s core.Status) {
+func (g *groupControl) sampled(name core.Endpoint, sentAt, now time.Time, s core.Status) {
 	m, ok := g.members[name]
 	if !ok || sentAt.Before(m.member.SampledAt) {
 		return
@@ -95,6 +104,7 @@
 		g.control.instance.event(core.EventPrimary).WithField("group", g.group.Name).
 			WithField("endpoint", name).WithField("term", s.Term).Info("primary")
 	}
+	g.observe(m, sentAt, now)
 	g.publish()
 }
 
@@ -103,6 +113,7 @@
 	var positions []uint64
 	var times []time.Time
 	for name, m := range g.members {
+		g.refresh(m)
 		member := m.member
 		s.Members[name] = &member
 		if m.member.Status.Term == g.term && m.member.Status.Fence == g.term && g.term > 0 {
--- a/instance/links.go
+++ b/instance/links.go
@@ -112,3 +112,9 @@
 	}
 	l.idle = nil
 }
+
+// share returns how many connections may be in use.
+func (l *links) share() int { return cap(l.tokens) }
+
+// busy returns how many connections are in use.
+func (l *links) busy() int { return cap(l.tokens) - len(l.tokens) }
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -10,6 +10,8 @@
 	unknown        metrics.Counter
 	readsOnReplica metrics.Counter
 	readsOnPrimary metrics.Counter
+	readRetries    metrics.Counter
+	readWaits      metrics.Counter
 	samples        metrics.Counter
 }
 
@@ -21,6 +23,8 @@
 		unknown:        metrics.NewRegisteredCounter("unknown", r),
 		readsOnReplica: metrics.NewRegisteredCounter("reads_on_replica", r),
 		readsOnPrimary: metrics.NewRegisteredCounter("reads_on_primary", r),
+		readRetries:    metrics.NewRegisteredCounter("read_retries", r),
+		readWaits:      metrics.NewRegisteredCounter("read_waits", r),
 		samples:        metrics.NewRegisteredCounter("samples", r),
 	}
 }
--- a/instance/read.go
+++ b/instance/read.go
@@ -1,55 +1,237 @@
 package instance
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/patch"
+	"anviltack/core/route"
 	"anviltack/io/endpoint"
 )
 
-// serveRead runs a unit of a stated kind in a read-only transaction.
-func (s *session) serveRead(u *unit) error {
-	if _, ok := s.database.Kinds[u.annotation.kind]; !ok {
-		return s.refuse(core.NewError(core.CodeUnknownKind, "database %s has no kind %q", s.login.Database, u.annotation.kind))
+// maxReadTries bounds the endpoints that one read is tried on.
+const maxReadTries = 5
+
+// reads is how one session finds endpoints for its reads.
+type reads struct {
+	router  *route.Router
+	request route.Request
+	// failed are the endpoints on which the read in hand failed.
+	failed []core.Endpoint
+}
+
+func (in *Instance) newRouter() *route.Router {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return route.NewRouter(random, route.WithDataCentre(in.settings.DataCentre))
+}
+
+// raise makes the session's mark cover p.
+func (s *session) raise(p core.Point) {
+	now := time.Now()
+	if s.marks.Raise(s.group.Name, p, now) {
+		s.markedAt = now
+		s.unreported = true
 	}
-	w, e := s.onPrimary(u)
+}
+
+// accept takes in a token that the caller handed in.
+func (s *session) accept(token string) *core.Error {
+	now := time.Now()
+	if err := s.marks.Accept(token, now); err != nil {
+		return core.NewError(core.CodeBadMark, "a mark is the text that anviltack.mark reported")
+	}
+	s.markedAt = now
+	s.unreported = true
+	return nil
+}
+
+// isRead reports whether the unit is a read of a stated kind. A batch of several
+// statements is not: one of them could end the read-only transaction.
+func (u *unit) isRead() bool {
+	return u.annotation.kind != "" && u.executions <= 1
+}
+
+// serveRead runs a unit of a stated kind in a read-only transaction on an
+// endpoint that covers the session's mark and is fresh enough for the kind.
+func (s *session) serveRead(u *unit) error {
+	kind, e := s.kind(u.annotation.kind)
 	if e != nil {
 		return s.refuse(e)
 	}
-	return w.read()
+	q := &s.reads.request
+	q.Need = s.marks.Need(s.group.Name, time.Duration(kind.Age), u.arrived)
+	q.Arrived, q.Deadline = u.arrived, u.deadline
+	s.reads.failed = s.reads.failed[:0]
+	for range maxReadTries {
+		state, c := s.place()
+		if c.Action == route.ActionRefuse {
+			return s.refuse(c.Err)
+		}
+		done, err := s.readOn(u, state, state.Members[c.Endpoint])
+		if done || err != nil {
+			return err
+		}
+		s.instance.counts.readRetries.Inc(1)
+		s.reads.failed = append(s.reads.failed, c.Endpoint)
+	}
+	return s.refuse(readFailed("the read failed on %d endpoints", maxReadTries))
+}
+
+func (s *session) kind(name core.Kind) (patch.Kind, *core.Error) {
+	database, ok := s.instance.View().Config.Databases[s.login.Database]
+	if !ok {
+		database = s.database
+	}
+	kind, ok := database.Kinds[name]
+	if !ok {
+		return kind, core.NewError(core.CodeUnknownKind, "database %s has no kind %q", s.login.Database, name)
+	}
+	return kind, nil
+}
+
+// place chooses an endpoint for the read in hand, after waiting if that is
+// worth while.
+func (s *session) place() (*GroupState, route.Choice) {
+	state := s.group.State()
+	c := s.choose(state)
+	if c.Action != route.ActionWait {
+		return state, c
+	}
+	s.instance.counts.readWaits.Inc(1)
+	s.group.waiting.Add(1)
+	defer s.group.waiting.Add(-1)
+	s.group.hurry()
+	for c.Action == route.ActionWait {
+		timer := time.NewTimer(time.Until(c.Until))
+		select {
+		case <-state.next:
+		case <-timer.C:
+		}
+		timer.Stop()
+		state = s.group.State()
+		c = s.choose(state)
+	}
+	return state, c
+}
+
+func (s *session) choose(state *GroupState) route.Choice {
+	now := time.Now()
+	q := &s.reads.request
+	q.Candidates = q.Candidates[:0]
+	for _, m := range state.Members {
+		c := m.candidate(q.Need, s.markedAt, now, s.instance.settings.Answer)
+		for _, name := range s.reads.failed {
+			c.Doubted = c.Doubted || name == m.Name
+		}
+		q.Candidates = append(q.Candidates, c)
+	}
+	return s.reads.router.Choose(q, now)
 }
 
-// read runs the unit with the endpoint's status behind it.
-func (w *work) read() error {
+// readOn tries the read in hand on one member. It reports whether the caller
+// got its answer; otherwise nothing was passed on and the read may go elsewhere.
+func (s *session) readOn(u *unit, state *GroupState, m *Member) (bool, error) {
+	w, e := s.on(u, m, state.Term)
+	if e != nil && e.Code == core.CodeOverloaded {
+		return true, s.refuse(e)
+	}
+	if e != nil {
+		m.load.end(nil, 0, true)
+		return false, nil
+	}
 	sentAt := time.Now()
+	m.load.begin(w.conn)
+	o, status, err := w.read(sentAt)
+	took := time.Since(sentAt)
+	m.load.end(w.conn, took, err != nil)
+	w.release(err == nil)
+	switch {
+	case err != nil || isPassing(o.failure):
+		return w.giveUp()
+	case o.failure != "":
+		return true, s.ready('I')
+	}
+	if m.Status.Role == core.RolePrimary {
+		return w.finishOnPrimary(status)
+	}
+	return w.finishOnReplica(status)
+}
+
+// read runs the unit with the endpoint's status behind it, all in one flush. The
+// transaction is rolled back, so that a setting does not outlive it.
+func (w *work) read(sentAt time.Time) (outcome, core.Status, error) {
 	w.x.readOnly(w.unit)
 	w.x.query(endpoint.StatusStatement)
-	w.x.query(commitStatement)
+	w.x.query(rollbackStatement)
 	if err := w.conn.Flush(); err != nil {
-		return w.lostRead()
+		return outcome{}, core.Status{}, err
 	}
 	o, err := w.x.answer()
 	if err != nil {
-		return w.lostRead()
+		return o, core.Status{}, err
 	}
 	status, err := w.status(sentAt)
 	if err != nil {
-		return w.lostRead()
+		return o, status, err
 	}
-	if _, err := w.x.skip(); err != nil {
-		return w.lostRead()
+	_, err = w.x.skip()
+	return o, status, err
+}
+
+// finishOnReplica passes the answer on if the replica did not go back while the
+// read ran, and once what it saw cannot be lost.
+func (w *work) finishOnReplica(status core.Status) (bool, error) {
+	s, p := w.session, status.Visible()
+	if !route.IsValid(w.member.Status.Visible(), p) {
+		return w.giveUp()
+	}
+	if !s.group.State().isSettled(w.member, p) {
+		state, _ := s.group.await(w.unit.deadline, func(g *GroupState) bool { return g.Term > p.Term || g.isSettled(w.member, p) })
+		if !state.isSettled(w.member, p) {
+			return w.giveUp()
+		}
 	}
-	w.release(true)
-	if o.failure != "" {
-		return w.session.ready('I')
+	s.instance.counts.readsOnReplica.Inc(1)
+	s.raise(p)
+	return true, s.ready('I')
+}
+
+// finishOnPrimary passes the answer on once a majority asked after the read came
+// holds what it saw: the primary was then still the primary.
+func (w *work) finishOnPrimary(status core.Status) (bool, error) {
+	s, p := w.session, status.Durable()
+	state, _ := s.group.await(w.unit.deadline, func(g *GroupState) bool {
+		return g.Term > p.Term || isConfirmed(g, p, w.unit.arrived)
+	})
+	if !isConfirmed(state, p, w.unit.arrived) || !p.Covers(s.reads.request.Need.Point) {
+		return w.giveUp()
 	}
-	w.session.instance.counts.readsOnPrimary.Inc(1)
-	return w.session.confirm(w.unit, status, w.x)
+	s.instance.counts.readsOnPrimary.Inc(1)
+	s.raise(p)
+	return true, s.ready('I')
 }
 
-// lostRead answers a read whose connection failed.
-func (w *work) lostRead() error {
+// giveUp takes the answer back. When rows of it were passed on already, the
+// caller gets an error in place of the rest.
+func (w *work) giveUp() (bool, error) {
 	w.x.retract()
-	w.release(false)
-	return w.session.refuse(core.NewError(core.CodeReadFailed, "the connection to %s failed", w.member.Name).WithRetry(primaryPause))
+	if w.x.streamed {
+		return true, w.session.refuse(readFailed("the read failed on %s behind its first rows", w.member.Name))
+	}
+	return false, nil
+}
+
+func readFailed(format string, args ...any) *core.Error {
+	return core.NewError(core.CodeReadFailed, format, args...).WithRetry(route.DefaultRetryAfter)
+}
+
+// isPassing reports whether an error tells of the endpoint and not of the read,
+// so that another endpoint may answer.
+func isPassing(state string) bool {
+	switch state {
+	case "57P01", "57P02", "57P03", "53300", "40001":
+		return true
+	}
+	return false
 }
--- a/instance/sampler.go
+++ b/instance/sampler.go
@@ -47,11 +47,12 @@
 	status, err := s.status(ctx, sentAt.Add(in.settings.Answer))
 	if err != nil {
 		s.drop()
+		s.group.control.post(ctx, func(time.Time) { s.group.missed(s.name) })
 		in.event(core.EventSampleFailed).WithField("endpoint", s.name).WithError(err).Debug("no sample")
 		return redialPause
 	}
 	in.counts.samples.Inc(1)
-	s.group.control.post(ctx, func(time.Time) { s.group.sampled(s.name, sentAt, status) })
+	s.group.control.post(ctx, func(now time.Time) { s.group.sampled(s.name, sentAt, now, status) })
 	if s.group.group.waiting.Load() > 0 {
 		return hurriedPause
 	}
--- a/instance/session.go
+++ b/instance/session.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"anviltack/core"
+	"anviltack/core/mark"
 	"anviltack/core/patch"
 	"anviltack/io/caller"
 	"anviltack/io/endpoint"
@@ -29,12 +30,14 @@
 	group    *Group
 	// defaults are what the session's parameters state.
 	defaults annotation
-	// mark is the point that reads of this session must cover.
-	mark core.Point
-	// reported is the mark that the caller was told last.
-	reported core.Point
-	arrived  time.Time
-	prepared map[string]*prepared
+	// marks are the points that reads of this session must cover.
+	marks *mark.Marks
+	// markedAt is when the mark of the session's group was raised last.
+	markedAt time.Time
+	// unreported tells that the marks changed since the caller was told them.
+	unreported bool
+	reads      reads
+	prepared   map[string]*prepared
 	// state is what the caller set for the session.
 	state sessionState
 	// held is the connection of an open transaction, or nil.
@@ -109,7 +112,8 @@
 		login:    login,
 		database: database,
 		group:    view.Groups[database.Group],
-		arrived:  time.Now(),
+		marks:    mark.New(time.Now()),
+		reads:    reads{router: in.newRouter()},
 		prepared: make(map[string]*prepared),
 	}
 	for name, value := range login.Options() {
@@ -122,7 +126,7 @@
 		return nil, err
 	}
 	in.counts.sessions.Inc(1)
-	if err := conn.Welcome(s.key, welcomeParameters(s.mark)); err != nil {
+	if err := conn.Welcome(s.key, welcomeParameters(s.marks)); err != nil {
 		s.end()
 		return nil, err
 	}
@@ -138,7 +142,7 @@
 	return false
 }
 
-func welcomeParameters(mark core.Point) []pgproto3.ParameterStatus {
+func welcomeParameters(marks *mark.Marks) []pgproto3.ParameterStatus {
 	return []pgproto3.ParameterStatus{
 		{Name: "server_version", Value: "15.0"},
 		{Name: "server_encoding", Value: "UTF8"},
@@ -147,7 +151,7 @@
 		{Name: "integer_datetimes", Value: "on"},
 		{Name: "DateStyle", Value: "ISO, MDY"},
 		{Name: "TimeZone", Value: "UTC"},
-		{Name: parameterPrefix + nameMark, Value: mark.String()},
+		{Name: parameterPrefix + nameMark, Value: marks.String()},
 	}
 }
 
@@ -189,7 +193,7 @@
 	switch {
 	case s.held != nil:
 		return s.serveHeld(u)
-	case u.annotation.kind != "":
+	case u.isRead():
 		return s.serveRead(u)
 	default:
 		return s.serveWrite(u)
@@ -205,51 +209,14 @@
 
 // ready ends the answer to a unit.
 func (s *session) ready(status byte) error {
-	if s.mark != s.reported {
-		s.conn.Send(&pgproto3.ParameterStatus{Name: parameterPrefix + nameMark, Value: s.mark.String()})
-		s.reported = s.mark
+	if s.unreported {
+		s.conn.Send(&pgproto3.ParameterStatus{Name: parameterPrefix + nameMark, Value: s.marks.String()})
+		s.unreported = false
 	}
 	s.conn.Send(&pgproto3.ReadyForQuery{TxStatus: status})
 	return s.conn.Flush()
 }
 
-// serveParameter answers a SET of one of anviltack's own parameters.
-func (s *session) serveParameter(u *unit) (bool, error) {
-	if !u.simple || u.fault != nil {
-		return false, nil
-	}
-	p, ok := parseParameterStatement(u.sql)
-	if !ok {
-		return false, nil
-	}
-	if e := s.setOption(parameterPrefix+p.name, p.value); e != nil {
-		return true, s.refuse(e)
-	}
-	s.conn.Send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
-	return true, s.ready(s.status())
-}
-
-// setOption takes in a run-time parameter; those of PostgreSQL are passed over.
-func (s *session) setOption(name, value string) *core.Error {
-	own, ok := cutPrefixFold(name, parameterPrefix)
-	if !ok {
-		return nil
-	}
-	switch own {
-	case nameMark:
-		mark, err := core.ParsePoint(value)
-		if err != nil {
-			return core.NewError(core.CodeBadMark, "a mark is the text that anviltack.mark reported")
-		}
-		s.mark = s.mark.Join(mark)
-		s.arrived = time.Time{}
-		return nil
-	case nameKind, nameDeadline:
-		return s.defaults.set(own, value)
-	}
-	return core.NewError(core.CodeBadParameter, "there is no parameter %s%s", parameterPrefix, own)
-}
-
 // status is the transaction status that the caller sees.
 func (s *session) status() byte {
 	if s.held != nil {
--- a/instance/unit.go
+++ b/instance/unit.go
@@ -33,8 +33,13 @@
 	name string
 	sql  string
 	// encoded is the whole parse message with that name.
-	encoded    []byte
+	encoded []byte
+	// annotation is what is stated about the statement when defaults are what
+	// the session's parameters state.
 	annotation annotation
+	defaults   annotation
+	// parameter is set for a SET of one of anviltack's own parameters.
+	parameter *parameterStatement
 }
 
 // step is one message of the extended protocol.
@@ -55,8 +60,8 @@
 	simple bool
 	sql    string
 	steps  []step
-	// executes tells that at least one step runs a statement.
-	executes   bool
+	// executions counts the statements that the steps run.
+	executions int
 	annotation annotation
 	// fault is the first thing wrong with the unit; nothing of it may run.
 	fault *core.Error
@@ -103,7 +108,7 @@
 func (s *session) simple(u *unit, sql string) {
 	u.simple = true
 	u.sql = sql
-	u.executes = true
+	u.executions = 1
 	a, e := parseAnnotation(sql, s.defaults)
 	u.annotation = a
 	if e != nil {
@@ -127,7 +132,7 @@
 	case *pgproto3.Describe:
 		s.addDescribe(u, m)
 	case *pgproto3.Execute:
-		u.executes = true
+		u.executions++
 		u.add(step{kind: stepExecute}, m)
 	case *pgproto3.Close:
 		if m.ObjectType == 'S' {
@@ -168,7 +173,7 @@
 	}
 	s.prepared[m.Name] = p
 	u.steps = append(u.steps, step{kind: stepParse, statement: p})
-	u.describe(p.annotation)
+	u.describe(s.stated(p))
 }
 
 func (s *session) addBind(u *unit, m *pgproto3.Bind) {
@@ -179,7 +184,7 @@
 	}
 	m.PreparedStatement = p.name
 	u.add(step{kind: stepBind, statement: p}, m)
-	u.describe(p.annotation)
+	u.describe(s.stated(p))
 }
 
 func (s *session) addDescribe(u *unit, m *pgproto3.Describe) {
@@ -194,7 +199,7 @@
 	}
 	m.Name = p.name
 	u.add(step{kind: stepDescribeStatement, statement: p}, m)
-	u.describe(p.annotation)
+	u.describe(s.stated(p))
 }
 
 // describe takes in what is stated about one of the unit's statements; a unit
@@ -223,7 +228,10 @@
 	if e != nil {
 		return nil, e
 	}
-	p := &prepared{sql: m.Query, annotation: a}
+	p := &prepared{sql: m.Query, annotation: a, defaults: defaults}
+	if set, ok := parseParameterStatement(m.Query); ok {
+		p.parameter = &set
+	}
 	if m.Name != "" {
 		p.name = preparedName(m)
 	}
@@ -236,6 +244,16 @@
 	return p, nil
 }
 
+// stated returns what is stated about a prepared statement now.
+func (s *session) stated(p *prepared) annotation {
+	if p.defaults != s.defaults {
+		if a, e := parseAnnotation(p.sql, s.defaults); e == nil {
+			p.annotation, p.defaults = a, s.defaults
+		}
+	}
+	return p.annotation
+}
+
 // preparedName derives a statement's name at endpoints from its text and its
 // parameter types, so that sessions share it.
 func preparedName(m *pgproto3.Parse) string {
--- a/instance/view.go
+++ b/instance/view.go
@@ -6,6 +6,7 @@
 
 	"anviltack/core"
 	"anviltack/core/patch"
+	"anviltack/core/route"
 )
 
 // View is what traffic goroutines see of the control state; it never changes.
@@ -51,8 +52,16 @@
 	Status     core.Status
 	// SampledAt is when the request for Status was sent; zero when there is none.
 	SampledAt time.Time
+	// FreshAsOf is a time such that Status.Visible covers every write of the
+	// group acknowledged before it.
+	FreshAsOf time.Time
+	// Outlook tells how the member follows the primary.
+	Outlook route.Outlook
+	// Slots is how many statements the endpoint runs at once.
+	Slots int
 
 	links *links
+	load  *load
 }
 
 // State returns the newest state.
--- a/instance/write.go
+++ b/instance/write.go
@@ -76,7 +76,7 @@
 // write runs the unit. It reports whether the unit did not run and may be tried
 // at another primary.
 func (w *work) write() (bool, error) {
-	if w.unit.annotation.submission != "" && w.unit.executes {
+	if w.unit.annotation.submission != "" && w.unit.executions > 0 {
 		return false, w.writeOnce()
 	}
 	sentAt := time.Now()
@@ -108,7 +108,7 @@
 		return false, w.remember()
 	}
 	w.release(true)
-	if o.tag == "" && o.failure != "" || !w.unit.executes {
+	if o.tag == "" && o.failure != "" || w.unit.executions == 0 {
 		return false, w.session.ready('I')
 	}
 	return false, w.session.confirm(w.unit, status, w.x)
@@ -207,9 +207,9 @@
 	control := w.session.instance.control
 	name := w.member.Name
 	group := w.session.group.Name
-	control.offer(func(time.Time) {
+	control.offer(func(now time.Time) {
 		if g, ok := control.groups[group]; ok {
-			g.sampled(name, sentAt, status)
+			g.sampled(name, sentAt, now, status)
 		}
 	})
 	return status, nil
@@ -246,7 +246,7 @@
 		x.retract()
 		return s.unknown()
 	}
-	s.mark = s.mark.Join(point)
+	s.raise(point)
 	return s.ready('I')
 }
 
