--- a/standin/rig/rig.go
+++ b/standin/rig/rig.go
@@ -145,6 +145,7 @@
 	}
 }
 
+// StartInstance starts one instance with the rig's configuration.
 func (r *Rig) StartInstance(name string) {
 	p := &process{address: freeAddress(r.t), control: freeAddress(r.t)}
 	text := fmt.Sprintf(`{"instance": %q, "data_centre": "bkk-a", "callers": %q, "operators": %q, "peers": %q,
