Refuse a mark ahead of the group at once

Cause: a read with a mark that no endpoint reaches was held to its deadline and then refused; the users ask for a refusal at once. A sample taken after the read came covers every point that any answer gave out before, so a mark above it is bogus. Change: route.Request carries the newest sample; such a read is refused with 4006. The property test checks the new refusal against its own rule.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -88,10 +88,20 @@
 	Arrived time.Time
 	// Deadline is when the caller no longer waits for the answer.
 	Deadline time.Time
+	// Newest is the newest sample of the group; zero when there is none.
+	Newest mark.Sample
 	// Candidates are the members of the group.
 	Candidates []Candidate
 }
 
+// isAhead reports whether the read asks for a point that the group had not
+// reached when the read came. No answer ever gave such a mark out, and none can
+// be expected to satisfy it.
+func (q *Request) isAhead() bool {
+	known := !q.Newest.At.IsZero() && !q.Newest.At.Before(q.Arrived)
+	return known && !q.Newest.Point.Covers(q.Need.Point)
+}
+
 // Choice is the answer to a Request.
 type Choice struct {
 	Action Action
@@ -153,6 +163,10 @@
 	if c := r.pick(q, false); c != nil {
 		return Choice{Action: ActionReplica, Endpoint: c.Endpoint}
 	}
+	if q.isAhead() {
+		err := core.NewError(core.CodeBadMark, "the mark is ahead of the group")
+		return Choice{Action: ActionRefuse, Err: err.WithRetry(DefaultRetryAfter)}
+	}
 	primary := findPrimary(q)
 	limit := q.Deadline
 	if primary != nil {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -107,6 +107,7 @@
 			q.Arrived = at(scanInt(t, d, "arrived", 1000))
 			q.Deadline = at(scanInt(t, d, "deadline", 2000))
 			q.Need = mark.Need{Point: parsePoint(t, scanText(t, d, "point", "0.0")), Since: at(scanInt(t, d, "since", 0))}
+			q.Newest = mark.Sample{At: at(scanInt(t, d, "newest", 0)), Point: parsePoint(t, scanText(t, d, "reached", "0.0"))}
 			r := NewRouter(rand.New(rand.NewPCG(1, 2)),
 				WithDataCentre("bkk-a"),
 				WithPolicy(Policy(scanText(t, d, "policy", string(PolicyNearest)))),
@@ -189,6 +190,11 @@
 			Arrived:  at(20),
 			Deadline: at(rapid.IntRange(21, 80).Draw(t, "deadline")).Add(-time.Millisecond / 2),
 		}
+		if rapid.Bool().Draw(t, "is sampled") {
+			q.Newest = mark.Sample{At: at(rapid.IntRange(0, 90).Draw(t, "newest")), Point: core.Point{
+				Term: rapid.Uint64Range(0, 3).Draw(t, "reached term"), Position: rapid.Uint64Range(95, 100).Draw(t, "reached"),
+			}}
+		}
 		for i := range rapid.IntRange(0, 5).Draw(t, "candidates") {
 			q.Candidates = append(q.Candidates, drawCandidate(t, i))
 		}
@@ -228,6 +234,13 @@
 			t.Fatalf("wrong wait until %v", c.Until)
 		}
 	case ActionRefuse:
+		if c.Err != nil && c.Err.Code == core.CodeBadMark {
+			n := q.Newest
+			if good > 0 || n.At.Before(q.Arrived) || n.Point.Term >= q.Need.Point.Term && n.Point.Position >= q.Need.Point.Position {
+				t.Fatalf("wrong refusal %v", c.Err)
+			}
+			return
+		}
 		if now.Before(q.Deadline) || c.Err == nil || c.Err.Code != core.CodeNoFreshReplica || c.Err.RetryAfter <= 0 {
 			t.Fatalf("wrong refusal %v", c.Err)
 		}
--- a/instance/group.go
+++ b/instance/group.go
@@ -121,6 +121,7 @@
 			times = append(times, m.member.SampledAt)
 		}
 	}
+	s.Newest, _ = g.tracker.History().Newest()
 	majority := len(g.members)/2 + 1
 	if len(positions) >= majority {
 		slices.Sort(positions)
--- a/instance/read.go
+++ b/instance/read.go
@@ -118,6 +118,7 @@
 func (s *session) choose(state *GroupState) route.Choice {
 	now := time.Now()
 	q := &s.reads.request
+	q.Newest = state.Newest
 	q.Candidates = q.Candidates[:0]
 	for _, m := range state.Members {
 		c := m.candidate(q.Need, s.markedAt, now, s.instance.settings.Answer)
--- a/instance/view.go
+++ b/instance/view.go
@@ -6,6 +6,7 @@
 
 	"anviltack/core"
 	"anviltack/core/patch"
+	"anviltack/core/mark"
 	"anviltack/core/route"
 )
 
@@ -40,6 +41,8 @@
 	Confirmed core.Point
 	// AsOf is a time at which the primary of Term was still the primary.
 	AsOf time.Time
+	// Newest is the newest sample of the group; zero when there is none.
+	Newest mark.Sample
 
 	next chan struct{}
 }
