--- a/instance/view.go
+++ b/instance/view.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"anviltack/core"
-	"anviltack/core/patch"
 	"anviltack/core/mark"
+	"anviltack/core/patch"
 	"anviltack/core/route"
 )
 
