--- a/core/member/rank.go
+++ b/core/member/rank.go
@@ -26,9 +26,20 @@
 
 // order sorts members by their rank for a duty, rank 0 first.
 func order(duty string, members []Member) []Member {
-	slices.SortFunc(members, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(weight(duty, b.Instance), weight(duty, a.Instance)), cmp.Compare(a.Instance, b.Instance))
+	type weighted struct {
+		member Member
+		weight uint64
+	}
+	all := make([]weighted, len(members))
+	for i, m := range members {
+		all[i] = weighted{member: m, weight: weight(duty, m.Instance)}
+	}
+	slices.SortFunc(all, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.member.Instance, b.member.Instance))
 	})
+	for i, w := range all {
+		members[i] = w.member
+	}
 	return members
 }
 
@@ -47,8 +58,20 @@
 
 // Rank returns this instance's rank for a duty in its data centre.
 func (t *Table) Rank(now time.Time, duty string) int {
-	ranked := order(duty, t.Live(now, t.self.DataCentre))
-	return slices.IndexFunc(ranked, func(m Member) bool { return m.Instance == t.self.Instance })
+	if t.self.State != StateLive {
+		return NotRanked
+	}
+	own, rank, owing := weight(duty, t.self.Instance), 0, t.owing()
+	for name, r := range t.records {
+		if r.DataCentre != t.self.DataCentre || t.state(now, r, owing) != StateLive {
+			continue
+		}
+		w := weight(duty, name)
+		if w > own || w == own && name < t.self.Instance {
+			rank++
+		}
+	}
+	return rank
 }
 
 // Homes returns the instances that connect to a group: the w first ranks over
