--- a/core/member/spread.go
+++ b/core/member/spread.go
@@ -10,6 +10,10 @@
 // watchers is how many instances of a data centre watch the platform.
 const watchers = 2
 
+// spareWatchers is how many further ranks exchange heartbeats with the watchers
+// of a large data centre, to take over from them.
+const spareWatchers = 2
+
 // Hop is one step of a spreading configuration: To gets the document and hands
 // it on to Onward.
 type Hop struct {
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -14,8 +14,8 @@
 const (
 	defaultSilence  = 3 * time.Second
 	defaultForget   = time.Minute
-	defaultEveryone = 16
-	defaultRing     = 4
+	defaultEveryone = 8
+	defaultRing     = 3
 )
 
 // DefaultFanOut is to how many instances each one hands a new configuration.
@@ -178,6 +178,15 @@
 	}
 }
 
+// Due returns the neighbours to which this instance sends a heartbeat in each
+// period. An exchange tells both sides, so the first by name begins it, and the
+// other one only when nothing came for longer.
+func (t *Table) Due(now time.Time, period time.Duration) []Member {
+	return slices.DeleteFunc(t.Neighbours(now), func(m Member) bool {
+		return m.Instance < t.self.Instance && m.Silent >= 0 && m.Silent < period+period/2
+	})
+}
+
 // Neighbours returns the instances with which this one exchanges heartbeats.
 // Dead ones are among them, so that their return is noticed.
 func (t *Table) Neighbours(now time.Time) []Member {
@@ -204,9 +213,32 @@
 		owing[names[(i+step)%len(names)]] = true
 		owing[names[(i-step+len(names))%len(names)]] = true
 	}
+	t.addWatchers(owing)
 	return owing
 }
 
+// addWatchers adds the first ranks of the data centre's watch when this
+// instance is among them, so that the next rank notices a silent watcher. The
+// ranks are those of the list, since the live ones follow from what is owed.
+func (t *Table) addWatchers(owing map[core.Instance]bool) {
+	members := []Member{t.self}
+	for _, r := range t.records {
+		if r.DataCentre == t.self.DataCentre && !r.leavingList && !r.leavingBeat {
+			members = append(members, r.Member)
+		}
+	}
+	ranked := order(DutyWatch, members)
+	ranked = ranked[:min(watchers+spareWatchers, len(ranked))]
+	if !slices.ContainsFunc(ranked, func(m Member) bool { return m.Instance == t.self.Instance }) {
+		return
+	}
+	for _, m := range ranked {
+		if m.Instance != t.self.Instance {
+			owing[m.Instance] = true
+		}
+	}
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/instance/beater.go
+++ b/instance/beater.go
@@ -51,22 +51,22 @@
 func (b *beater) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		start := time.Now()
-		b.round(ctx)
+		b.round(ctx, b.instance.fleet.Load().due)
 		sleep(ctx, beatPeriod-time.Since(start))
 	}
 	return ctx.Err()
 }
 
-// round sends one heartbeat to each neighbour and, while there is no
-// configuration, to each seed.
-func (b *beater) round(ctx context.Context) {
+// round sends one heartbeat to each of the members and to each seed that is no
+// member yet.
+func (b *beater) round(ctx context.Context, members []member.Member) {
 	f := b.instance.fleet.Load()
 	var to []netip.AddrPort
-	for _, m := range f.neighbours {
+	for _, m := range members {
 		to = append(to, m.Address)
 	}
 	for _, a := range b.instance.settings.Seeds {
-		if a != f.self.Address && !slices.Contains(to, a) {
+		if a != f.self.Address && !f.knows(a) {
 			to = append(to, a)
 		}
 	}
@@ -81,6 +81,11 @@
 	all.Wait()
 }
 
+// knows reports whether an address is that of a member.
+func (f *fleetView) knows(a netip.AddrPort) bool {
+	return slices.ContainsFunc(f.members, func(m member.Member) bool { return m.Address == a })
+}
+
 // puller fetches newer configurations from peers.
 type puller struct {
 	instance *Instance
--- a/instance/drain.go
+++ b/instance/drain.go
@@ -74,7 +74,7 @@
 	for !in.beat().Draining && ctx.Err() == nil {
 		sleep(ctx, drainPoll)
 	}
-	(&beater{instance: in}).round(ctx)
+	(&beater{instance: in}).round(ctx, in.fleet.Load().neighbours)
 	if in.list.Deregister == nil {
 		return
 	}
--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -44,6 +44,10 @@
 	self       member.Member
 	members    []member.Member
 	neighbours []member.Member
+	// due are the neighbours to which the next heartbeat goes.
+	due []member.Member
+	// rank is this instance's rank for watching the platform.
+	rank int
 	// watching tells whether this instance watches the platform.
 	watching bool
 	// missing is a version above the one in force that was heard of, or zero.
@@ -171,6 +175,8 @@
 		self:         f.table.Self(),
 		members:      f.table.Members(now),
 		neighbours:   f.table.Neighbours(now),
+		due:          f.table.Due(now, beatPeriod),
+		rank:         f.table.Rank(now, member.DutyWatch),
 		watching:     f.table.IsWatcher(now),
 		missing:      f.adopter.Missing(),
 		leaving:      f.leaving,
@@ -223,14 +229,28 @@
 			s.acknowledged(h.To, version)
 			return
 		}
-		if whole == nil || !peer.IsBehind(err) {
+		u.Document = whole
+		if !peer.IsBehind(err) {
+			s.pass(ctx, u, h.Onward)
 			return
 		}
 		u.Onward = nil
 	}
+	if whole == nil {
+		return
+	}
 	u.Document, u.Entries = whole, nil
 	if version, err := s.instance.peers.Push(ctx, h.To, u); err == nil {
 		s.acknowledged(h.To, version)
+	} else {
+		s.pass(ctx, u, u.Onward)
+	}
+}
+
+// pass hands an update to the instances below one that did not answer.
+func (s *spreader) pass(ctx context.Context, u peer.Update, onward []netip.AddrPort) {
+	for _, h := range member.Tree(onward, member.DefaultFanOut) {
+		go s.push(ctx, u, h)
 	}
 }
 
--- a/instance/server.go
+++ b/instance/server.go
@@ -123,7 +123,7 @@
 	f := in.fleet.Load()
 	s := operator.Status{
 		Instance: f.self.Instance, DataCentre: f.self.DataCentre, Version: in.View().Version, Source: f.source,
-		Draining: f.self.State == member.StateLeaving, Watching: f.watching, Instances: f.members,
+		Draining: f.self.State == member.StateLeaving, Watching: f.watching, Rank: f.rank, Instances: f.members,
 	}
 	for _, g := range in.Dump().Groups {
 		group := operator.GroupStatus{Group: g.Group, Term: g.Term, Primary: g.Primary}
--- a/instance/watcher.go
+++ b/instance/watcher.go
@@ -13,8 +13,8 @@
 const (
 	// watchPause is the time between two attempts to reach the platform.
 	watchPause = 500 * time.Millisecond
-	// listPeriod is the time after which an instance that does not watch reads
-	// the list of instances again.
+	// listPeriod is the longest time after which an instance that does not watch
+	// reads the list of instances again; it begins with shorter ones.
 	listPeriod = time.Minute
 )
 
@@ -118,6 +118,7 @@
 		sleep(ctx, watchPause)
 	}
 	var index uint64
+	period := fleetPeriod
 	for ctx.Err() == nil {
 		list, next, err := in.list.Watch(ctx, index)
 		if err != nil {
@@ -127,23 +128,26 @@
 			continue
 		}
 		in.control.post(ctx, func(now time.Time) { in.control.fleet.listed(now, list) })
-		index = next
-		l.rest(ctx, &index)
+		if index = l.rest(ctx, next, period); index == 0 {
+			period = min(2*period, listPeriod)
+		}
 	}
 	return ctx.Err()
 }
 
-// rest waits while this instance is no watcher, but reads the list once in a
-// while; the periods of instances differ at random.
-func (l *lister) rest(ctx context.Context, index *uint64) {
-	end := time.Now().Add(listPeriod/2 + rand.N(listPeriod))
+// rest waits while this instance is no watcher, up to about a period, which
+// differs at random between instances. It returns the index after which to
+// watch, or zero to read the list at once.
+func (l *lister) rest(ctx context.Context, index uint64, period time.Duration) uint64 {
+	end := time.Now().Add(period/2 + rand.N(period))
 	for ctx.Err() == nil && !l.instance.fleet.Load().watching && time.Now().Before(end) {
-		*index = 0
+		index = 0
 		sleep(ctx, fleetPeriod)
 	}
-	if *index == 0 {
+	if index == 0 {
 		sleep(ctx, fleetPeriod)
 	}
+	return index
 }
 
 // listing is this instance's entry on the platform's list.
--- a/io/operator/message.go
+++ b/io/operator/message.go
@@ -21,7 +21,10 @@
 	Source   patch.Source `json:"source"`
 	Draining bool         `json:"draining"`
 	// Watching tells whether the instance watches the platform.
-	Watching  bool            `json:"watching"`
+	Watching bool `json:"watching"`
+	// Rank is the instance's rank for watching the platform; the second one
+	// takes over when the first is silent.
+	Rank      int             `json:"rank"`
 	Groups    []GroupStatus   `json:"groups"`
 	Instances []member.Member `json:"instances"`
 }
