--- a/standin/cmd/endpoint.go
+++ b/standin/cmd/endpoint.go
@@ -5,13 +5,14 @@
 	"net/netip"
 	"time"
 
+	"anviltack/core"
 	"anviltack/standin/endpoint"
 )
 
 type endpointCmd struct {
 	Name        string           `required:"" help:"Name of the endpoint."`
 	Group       string           `required:"" help:"Name of its group."`
-	DataCentre  string           `default:"" help:"Its data centre."`
+	DataCentre  core.DataCentre  `default:"" help:"Its data centre."`
 	Listen      netip.AddrPort   `required:"" help:"Address for statements."`
 	Control     netip.AddrPort   `required:"" help:"Address for replication and fault switches."`
 	Peers       []netip.AddrPort `help:"Control addresses of the other members."`
@@ -27,6 +28,7 @@
 // Run serves until the process is told to stop.
 func (c *endpointCmd) Run(ctx context.Context) error {
 	options := []endpoint.Option{
+		endpoint.WithDataCentre(c.DataCentre),
 		endpoint.WithPeers(c.Peers...),
 		endpoint.WithSlots(c.Slots),
 		endpoint.WithConnections(c.Connections),
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -26,6 +26,7 @@
 
 // Endpoint is one member of a database group.
 type Endpoint struct {
+	dataCentre  core.DataCentre
 	listen      netip.AddrPort
 	control     netip.AddrPort
 	peers       []netip.AddrPort
@@ -93,7 +94,13 @@
 	return func(e *Endpoint) { e.work = d }
 }
 
-// WithDelay sets the one-way time to each peer.
+// WithDataCentre names the data centre of the endpoint; connections of instances
+// that tell another one by their user name are as long as the delay.
+func WithDataCentre(d core.DataCentre) Option {
+	return func(e *Endpoint) { e.dataCentre = d }
+}
+
+// WithDelay sets the one-way time to other data centres, where all peers are.
 func WithDelay(d time.Duration) Option {
 	return func(e *Endpoint) { e.delay = d }
 }
--- a/standin/endpoint/endpoint_test.go
+++ b/standin/endpoint/endpoint_test.go
@@ -43,7 +43,7 @@
 	}
 	done := make(chan error, 3)
 	for i, name := range []string{"a", "b", "c"} {
-		options := []Option{WithPeers(addresses[3+(i+1)%3], addresses[3+(i+2)%3]), WithConnections(4), WithSlots(2)}
+		options := []Option{WithPeers(addresses[3+(i+1)%3], addresses[3+(i+2)%3]), WithConnections(4), WithSlots(2), WithDataCentre("here"), WithDelay(time.Millisecond)}
 		if i == 0 {
 			options = append(options, WithPrimary())
 		}
@@ -64,11 +64,13 @@
 	var on string
 	name := "first"
 	d.ScanArgs(b.t, "on", &on)
+	user := "u"
 	d.MaybeScanArgs(b.t, "session", &name)
+	d.MaybeScanArgs(b.t, "user", &user)
 	c := b.sessions[on+name]
 	if c == nil || c.IsClosed() {
 		var err error
-		c, err = pgx.Connect(b.ctx, fmt.Sprintf("postgres://u@%s/d?sslmode=prefer", b.members[on].listen))
+		c, err = pgx.Connect(b.ctx, fmt.Sprintf("postgres://%s@%s/d?sslmode=prefer", user, b.members[on].listen))
 		b.is.NoErr(err)
 		b.sessions[on+name] = c
 	}
--- a/standin/endpoint/execute.go
+++ b/standin/endpoint/execute.go
@@ -34,7 +34,7 @@
 	s.ran = true
 	s.used.Store(true)
 	e.count(st)
-	time.Sleep(e.work)
+	sleepUntil(time.Now().Add(e.work))
 	if e.frozen.wait(ctx) != nil {
 		return result{}, newSQLError(stateCancelled, "canceling statement due to user request")
 	}
--- a/standin/endpoint/replicate.go
+++ b/standin/endpoint/replicate.go
@@ -143,9 +143,13 @@
 		if e.frozen.wait(ctx) != nil {
 			return
 		}
-		batch, pause, changed := p.batch()
-		if batch == nil {
-			if !wait(ctx, changed, pause) {
+		batch, due, changed := p.batch()
+		switch {
+		case batch == nil && changed == nil:
+			sleepUntil(due)
+			continue
+		case batch == nil:
+			if !wait(ctx, changed, time.Until(due)) {
 				return
 			}
 			continue
@@ -156,37 +160,40 @@
 	}
 }
 
-// batch returns what is due for the peer, or how long to wait for it.
-func (p *pusher) batch() (*Push, time.Duration, <-chan struct{}) {
+// batch returns what has to go to the peer now, or when to look again: at a
+// change too when it returns a channel.
+func (p *pusher) batch() (*Push, time.Time, <-chan struct{}) {
 	e := p.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
 	if e.role != core.RolePrimary || e.faults.isCut(p.peer) {
-		return nil, heartbeat, e.changed
+		return nil, now.Add(heartbeat), e.changed
 	}
 	if p.term != e.term {
 		p.term = e.term
 		p.next = uint64(len(e.entries))
 	}
-	now := time.Now()
 	end := p.next - 1
-	pause := p.beat.Sub(now)
+	var due time.Time
 	for end < uint64(len(e.entries)) && end-p.next+1 < pushEntries {
-		if due := e.entries[end].at.Add(e.delay).Sub(now); due > 0 {
-			pause = min(pause, due)
+		if due = e.entries[end].at.Add(e.delay); due.After(now) {
 			break
 		}
 		end++
 	}
 	if end < p.next && now.Before(p.beat) {
-		return nil, pause, e.changed
+		if due.IsZero() {
+			return nil, p.beat, e.changed
+		}
+		return nil, due, nil
 	}
 	p.beat = now.Add(heartbeat)
 	return &Push{
 		Term:     e.term,
 		Previous: e.pointAt(p.next - 1),
 		Entries:  slices.Clone(e.entries[p.next-1 : end]),
-	}, 0, nil
+	}, time.Time{}, nil
 }
 
 func (p *pusher) send(ctx context.Context, batch *Push) error {
--- a/standin/endpoint/session.go
+++ b/standin/endpoint/session.go
@@ -20,7 +20,7 @@
 // session is one connection.
 type session struct {
 	endpoint *Endpoint
-	conn     net.Conn
+	conn     *link
 	backend  *pgproto3.Backend
 	// id and secret name the session in cancel requests.
 	id     uint32
@@ -45,11 +45,11 @@
 }
 
 func newSession(e *Endpoint, conn net.Conn) *session {
-	s := &session{endpoint: e, conn: conn, secret: make([]byte, secretLength), transaction: newTransaction()}
+	s := &session{endpoint: e, conn: &link{Conn: conn}, secret: make([]byte, secretLength), transaction: newTransaction()}
 	s.forget()
 	s.portals = make(map[string]portal)
 	_, _ = rand.Read(s.secret)
-	s.backend = pgproto3.NewBackend(conn, outlet{s})
+	s.backend = pgproto3.NewBackend(s.conn, outlet{s})
 	s.backend.SetMaxBodyLen(maxBodyLength)
 	return s
 }
@@ -102,7 +102,11 @@
 			s.endpoint.cancelStatement(m.ProcessID, m.SecretKey)
 			return false
 		case *pgproto3.StartupMessage:
-			return wait(ctx, nil, s.endpoint.connect) && s.welcome(m)
+			if !wait(ctx, nil, s.endpoint.connect) || !s.welcome(m) {
+				return false
+			}
+			s.conn.setUser(s.endpoint, m.Parameters["user"])
+			return true
 		}
 	}
 }
