--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// Interrupt sets the deadline of a Receive in which another goroutine waits.
+func (c *Conn) Interrupt(t time.Time) { _ = c.conn.SetReadDeadline(t) }
+
 // Send appends one message to those that the next Flush sends.
 func (c *Conn) Send(m pgproto3.BackendMessage) {
 	out, err := m.Encode(c.out)
