--- /dev/null
+++ b/standin/cmd/demo_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"anviltack/cli"
+	"anviltack/standin/demo"
+)
+
+// The names under which the test binary stands in for both programs.
+const (
+	standinName   = "standin"
+	anviltackName = "anviltack"
+)
+
+func TestMain(m *testing.M) {
+	switch filepath.Base(os.Args[0]) {
+	case standinName:
+		main()
+	case anviltackName:
+		os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+	default:
+		os.Exit(m.Run())
+	}
+}
+
+// runDemo runs a site as processes of the test binary and returns what was
+// printed.
+func runDemo(t *testing.T, site string, scenarios ...demo.Scenario) {
+	is := is.New(t)
+	self, err := os.Executable()
+	is.NoErr(err)
+	directory := t.TempDir()
+	programs := demo.Programs{
+		Standin:   filepath.Join(directory, standinName),
+		Anviltack: filepath.Join(directory, anviltackName),
+	}
+	is.NoErr(os.Symlink(self, programs.Standin))
+	is.NoErr(os.Symlink(self, programs.Anviltack))
+	var out bytes.Buffer
+	report, err := demo.Run(t.Context(), demo.Options{
+		Site:      demo.Sites[site],
+		Programs:  programs,
+		Duration:  4 * time.Second,
+		Scenarios: scenarios,
+		Valuers:   3,
+		Analysts:  6,
+	}, &out)
+	is.NoErr(err)
+	report.Print(&out)
+	t.Log(out.String())
+	is.Equal(report.Broken(), 0)
+	is.True(report.Writes.Acknowledged > 0)
+	is.True(report.ReadsPrimary+report.ReadsReplica > 0)
+}
+
+func TestIndexWithPlatformDown(t *testing.T) {
+	runDemo(t, "index", demo.ScenarioPlatform, demo.ScenarioLag)
+}
+
+func TestBoardWithCrossedAnswerAndKilledInstance(t *testing.T) {
+	runDemo(t, "board", demo.ScenarioCross, demo.ScenarioEntry)
+}
--- a/standin/demo/bench.go
+++ b/standin/demo/bench.go
@@ -203,23 +203,17 @@
 	}
 }
 
-// stop ends every process that was started.
+// stop ends every process that was started, the entry instances first.
 func (b *bench) stop() error {
-	var all []*process
+	var entries, others []*process
 	for _, e := range b.entries {
-		all = append(all, e.process)
+		entries = append(entries, e.process)
 	}
 	for _, m := range b.members {
-		all = append(all, m.process)
+		others = append(others, m.process)
 	}
-	all = append(all, b.platform)
-	var failed error
-	for _, p := range all {
-		if p != nil {
-			failed = errors.Join(failed, p.stop())
-		}
-	}
-	return failed
+	others = append(others, b.platform)
+	return errors.Join(stopAll(entries), stopAll(others))
 }
 
 // primary returns the primary of a group.
--- a/standin/demo/process.go
+++ b/standin/demo/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -89,3 +90,16 @@
 	}
 	return fmt.Errorf("demo: %s did not end within %s and was killed", p.name, stopLimit)
 }
+
+// stopAll stops processes side by side; those that did not start are nil.
+func stopAll(all []*process) error {
+	failures := make([]error, len(all))
+	var stopping sync.WaitGroup
+	for i, p := range all {
+		if p != nil {
+			stopping.Go(func() { failures[i] = p.stop() })
+		}
+	}
+	stopping.Wait()
+	return errors.Join(failures...)
+}
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -39,7 +39,8 @@
 	ReadsPrimary int     `json:"reads_primary"`
 	ReadsReplica int     `json:"reads_replica"`
 	ReplicaShare float64 `json:"replica_share"`
-	// Gaps holds the longest time without an acknowledged write by database.
+	// Gaps holds the longest time without an acknowledged write by database; it
+	// is the failover gap of a group whose primary failed.
 	Gaps   map[core.Database]patch.Duration `json:"gaps"`
 	Reads  Quantiles                        `json:"read_latency"`
 	Commit Quantiles                        `json:"write_latency"`
@@ -123,7 +124,7 @@
 	fmt.Fprintf(w, "reads on replicas   %.1f%% (%d on replicas, %d on primaries)\n", 100*r.ReplicaShare, r.ReadsReplica, r.ReadsPrimary)
 	fmt.Fprintf(w, "writes              %d acknowledged, %d refused, %d unknown\n", r.Writes.Acknowledged, r.Writes.Refused, r.Writes.Unknown)
 	for _, d := range slices.Sorted(maps.Keys(r.Gaps)) {
-		fmt.Fprintf(w, "write gap           %s: %s\n", d, time.Duration(r.Gaps[d]))
+		fmt.Fprintf(w, "failover gap        %s: %s without an acknowledged write\n", d, time.Duration(r.Gaps[d]))
 	}
 	r.Reads.print(w, "read latency")
 	r.Commit.print(w, "write latency")
