--- a/standin/load/judge.go
+++ b/standin/load/judge.go
@@ -85,7 +85,7 @@
 func (l *Load) gap(d core.Database, started, ended time.Time) time.Duration {
 	times := []time.Time{started, ended}
 	for _, w := range l.ledger.writes {
-		if w.Database == d && w.Outcome == OutcomeAcknowledged {
+		if w.Database == d && w.Outcome == OutcomeAcknowledged && w.At.Before(ended) {
 			times = append(times, w.At)
 		}
 	}
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -126,7 +126,7 @@
 	l.runCallers(ends)
 	stopWatch()
 	running.Wait()
-	return l.judge(ctx, started, time.Now())
+	return l.judge(ctx, started, started.Add(l.duration))
 }
 
 func (l *Load) runCallers(ctx context.Context) {
--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"net/netip"
@@ -114,6 +115,9 @@
 	is.Equal(outcomeOf(&pgconn.PgError{Code: "08007", Message: "AT3001: unknown"}), OutcomeUnknown)
 	is.Equal(outcomeOf(&pgconn.PgError{Code: "23505", Message: "AT1001: ran"}), OutcomeAcknowledged)
 	is.Equal(outcomeOf(&pgconn.PgError{Code: "53300", Message: "AT2001: full"}), OutcomeRefused)
+	is.True(isMisplaced(errors.New("unexpected message")))
+	is.True(!isMisplaced(fmt.Errorf("receive: %w", io.ErrUnexpectedEOF)))
+	is.True(!isMisplaced(&pgconn.PgError{Code: "08007"}))
 	is.Equal(retryAfter(&pgconn.PgError{Hint: "retry after 250ms"}), 250*time.Millisecond)
 	is.Equal(retryAfter(&pgconn.PgError{Hint: "retry after 1h"}), retryLimit)
 }
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -46,8 +46,10 @@
 	Commit Quantiles                        `json:"write_latency"`
 	// Refusals counts errors by their numbered code, or SQLSTATE without one.
 	Refusals map[string]int `json:"refusals"`
-	Lost     int            `json:"lost"`
-	Doubled  int            `json:"doubled"`
+	// First holds the first error text of each code.
+	First   map[string]string `json:"first"`
+	Lost    int               `json:"lost"`
+	Doubled int               `json:"doubled"`
 	// Stale counts reads older than their kind's age or than their session saw.
 	Stale            int `json:"stale"`
 	StaleAge         int `json:"stale_age"`
@@ -76,6 +78,7 @@
 		Reads:            quantiles(t.latencies[kindRead]),
 		Commit:           quantiles(t.latencies[kindWrite]),
 		Refusals:         t.refusals,
+		First:            t.first,
 		Lost:             t.failures[brokenLost],
 		Doubled:          t.failures[brokenDoubled],
 		Stale:            t.failures[brokenAge] + t.failures[brokenSession],
@@ -129,7 +132,7 @@
 	r.Reads.print(w, "read latency")
 	r.Commit.print(w, "write latency")
 	for _, code := range slices.Sorted(maps.Keys(r.Refusals)) {
-		fmt.Fprintf(w, "refused             %s: %d\n", code, r.Refusals[code])
+		fmt.Fprintf(w, "refused             %s: %d, first: %s\n", code, r.Refusals[code], r.First[code])
 	}
 	fmt.Fprintf(w, "lost                %d\n", r.Lost)
 	fmt.Fprintf(w, "doubled             %d\n", r.Doubled)
--- a/standin/load/tally.go
+++ b/standin/load/tally.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -47,14 +49,17 @@
 	statements  int
 	connections int
 	refusals    map[string]int
-	failures    map[brokenKind]int
-	examples    []string
-	latencies   map[statementKind]*hdrhistogram.Histogram
+	// first holds the first error of each code.
+	first     map[string]string
+	failures  map[brokenKind]int
+	examples  []string
+	latencies map[statementKind]*hdrhistogram.Histogram
 }
 
 func newTally() *tally {
 	return &tally{
 		refusals: make(map[string]int),
+		first:    make(map[string]string),
 		failures: make(map[brokenKind]int),
 		latencies: map[statementKind]*hdrhistogram.Histogram{
 			kindRead:  hdrhistogram.New(1, histogramMost, histogramKeep),
@@ -69,9 +74,24 @@
 	t.statements++
 	t.refuse(err)
 	t.mu.Unlock()
-	if errors.Is(err, context.DeadlineExceeded) {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
 		t.broken(brokenUnanswered, "no answer within %s", answerLimit)
+	case isMisplaced(err):
+		t.broken(brokenCrossed, "answer out of place: %v", err)
+	}
+}
+
+// isMisplaced reports whether the driver failed for messages that do not belong
+// to its request, and not for an error answer or a lost connection.
+func isMisplaced(err error) bool {
+	var server *pgconn.PgError
+	var network net.Error
+	switch {
+	case err == nil, pgconn.SafeToRetry(err), errors.As(err, &server), errors.As(err, &network):
+		return false
 	}
+	return !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, net.ErrClosed)
 }
 
 func (t *tally) connected() {
@@ -89,7 +109,7 @@
 		t.refuse(err)
 		return
 	}
-	t.refusals["no connection"]++
+	t.add("no connection", err)
 }
 
 // refuse counts an error by its code; t.mu is held.
@@ -98,11 +118,19 @@
 	switch {
 	case err == nil:
 	case !errors.As(err, &e):
-		t.refusals["connection lost"]++
+		t.add("connection lost", err)
 	case codeOf(e) != 0:
-		t.refusals[fmt.Sprintf("%s%d", codePrefix, codeOf(e))]++
+		t.add(fmt.Sprintf("%s%d", codePrefix, codeOf(e)), err)
 	default:
-		t.refusals["SQLSTATE "+e.Code]++
+		t.add("SQLSTATE "+e.Code, err)
+	}
+}
+
+// add counts an error under a name; t.mu is held.
+func (t *tally) add(name string, err error) {
+	t.refusals[name]++
+	if t.refusals[name] == 1 {
+		t.first[name] = err.Error()
 	}
 }
 
