Decide fencing, promotion and acknowledgement in core/group

Writes need a rule by which no acknowledged one is lost when a primary is replaced, and instances need to agree on when to replace it. Neither a lease nor a clock may carry that, since a lease can lapse while its holder is paused.

A Machine per group takes statuses, failures and peers' opinions and returns samples, fences and promotions. Safety rests on three rules (package doc): a fenced majority, the highest last entry, and a majority in one term with the fence not above it. Comparing Status.Term in place of Last.Term was ruled out: it rises with the first empty push of a new primary.

A half cut primary often has the longest log of all, so an attempt takes a majority without the suspect when there is one. A paused instance restarts its own silence clocks, and one that cannot reach a majority promotes nothing.

--- /dev/null
+++ b/core/group/member.go
@@ -0,0 +1,90 @@
+package group
+
+import (
+	"time"
+
+	"anviltack/core"
+)
+
+// Member is an endpoint of the group as the configuration lists it.
+type Member struct {
+	Name       core.Endpoint
+	DataCentre core.DataCentre
+}
+
+// member is what the machine knows of one endpoint.
+type member struct {
+	Member
+	// status is the newest report, asked for at sentAt; known is false before
+	// the first one.
+	status core.Status
+	sentAt time.Time
+	known  bool
+	// answeredAt is when the endpoint last answered anything.
+	answeredAt time.Time
+	// refusedFirst and refusedLast bound the refusals since the last answer.
+	refusedFirst time.Time
+	refusedLast  time.Time
+	refusals     int
+	// failures counts every kind of failure since the last answer.
+	failures int
+	// outstanding lists when the samples still unanswered were asked for,
+	// oldest first.
+	outstanding []time.Time
+	// nextSample is when the next sample is due.
+	nextSample time.Time
+	// fresh asks for the next sample over a new connection.
+	fresh bool
+}
+
+// answered notes that the endpoint is alive.
+func (e *member) answered(now time.Time) {
+	e.answeredAt = now
+	e.refusals = 0
+	e.failures = 0
+}
+
+// failed notes a failure to reach the endpoint and when to try again.
+func (e *member) failed(now time.Time, f Failure, p *Periods) {
+	if f == FailureRefused {
+		if e.refusals == 0 {
+			e.refusedFirst = now
+		}
+		e.refusals++
+		e.refusedLast = now
+	}
+	e.nextSample = now
+	if e.failures > 0 || f == FailureRefused {
+		e.nextSample = now.Add(p.Sample)
+	}
+	e.failures++
+	e.fresh = true
+}
+
+// settle drops a sample from the outstanding ones.
+func (e *member) settle(sentAt time.Time) {
+	for i, t := range e.outstanding {
+		if t.Equal(sentAt) {
+			e.outstanding = append(e.outstanding[:i], e.outstanding[i+1:]...)
+			return
+		}
+	}
+}
+
+// isDead reports whether refusals show that no process listens.
+func (e *member) isDead(span time.Duration) bool {
+	return e.refusals >= minRefusals && e.refusedLast.Sub(e.refusedFirst) >= span
+}
+
+// holds reports whether the endpoint's status counts for confirmations in term.
+func (e *member) holds(term uint64) bool {
+	s := e.status
+	return e.known && s.Term == term && s.Fence <= term &&
+		(s.Last.Term == term || s.Last == core.Point{})
+}
+
+// isPrimary reports whether the endpoint last reported to be a primary that
+// takes writes in term.
+func (e *member) isPrimary(term uint64) bool {
+	return e.known && e.status.Role == core.RolePrimary && e.status.Term == term && e.status.Fence == term
+}
--- /dev/null
+++ b/core/group/world_test.go
@@ -0,0 +1,466 @@
+package group
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"anviltack/core"
+)
+
+// epoch is where virtual time starts.
+var epoch = time.Unix(1_000_000, 0)
+
+type entry struct {
+	term uint64
+	id   int
+}
+
+// fakeEndpoint is a group member in virtual time.
+type fakeEndpoint struct {
+	name         core.Endpoint
+	log          []entry
+	fence, term  uint64
+	primary      bool
+	matched      int
+	next         map[core.Endpoint]int
+	pushed       map[core.Endpoint]time.Time
+	dead, frozen bool
+	held         []func()
+	cut          map[core.Endpoint]bool
+}
+
+func (f *fakeEndpoint) status() core.Status {
+	s := core.Status{Role: core.RoleReplica, Fence: f.fence, Term: f.term, Received: uint64(f.matched)}
+	if f.primary {
+		s.Role, s.Received = core.RolePrimary, uint64(len(f.log))
+	}
+	if n := len(f.log); n > 0 {
+		s.Last = core.Point{Term: f.log[n-1].term, Position: uint64(n)}
+	}
+	return s
+}
+
+type statement struct {
+	id      int
+	arrival time.Time
+	term    uint64
+	point   core.Point
+	// index is where a write is in the log, zero for a read.
+	index int
+	// missed is an acknowledged write that a read did not see.
+	missed int
+}
+
+// ack is a write that was acknowledged.
+type ack struct {
+	id, index int
+	at        time.Time
+}
+
+// fakeInstance drives a machine in virtual time.
+type fakeInstance struct {
+	*Machine
+	number  int
+	paused  bool
+	held    []func()
+	waiting []statement
+	// lost and deaf name endpoints to and from which messages get lost.
+	lost, deaf map[core.Endpoint]bool
+	// stops pauses the instance just before it sends a promotion.
+	stops bool
+	wake  time.Time
+}
+
+type event struct {
+	at     time.Duration
+	number int
+	run    func()
+}
+
+type events []*event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].number < h[j].number
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(*event)) }
+func (h *events) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// world is a group, its instances and its callers.
+type world struct {
+	random     *rand.Rand
+	now        time.Time
+	queue      events
+	number     int
+	endpoints  []*fakeEndpoint
+	instances  []*fakeInstance
+	jitter     time.Duration
+	promotions []Failover
+	acked      []ack
+	unknown    int
+	written    int
+	noPeers    bool
+	out        strings.Builder
+	faults     []string
+}
+
+func newWorld(seed uint64, instances int) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 1)), now: epoch, jitter: time.Millisecond,
+	}
+	var members []Member
+	for _, n := range []core.Endpoint{"a", "b", "c"} {
+		f := &fakeEndpoint{name: n, fence: 1, term: 1, next: map[core.Endpoint]int{}, cut: map[core.Endpoint]bool{}, pushed: map[core.Endpoint]time.Time{}}
+		w.endpoints = append(w.endpoints, f)
+		members = append(members, Member{Name: n, DataCentre: core.DataCentre(n)})
+		w.replicate(f)
+	}
+	w.endpoints[0].primary = true
+	for i := range instances {
+		m := New("g", core.Instance(fmt.Sprint(i)), WithRandom(rand.New(rand.NewPCG(seed, uint64(i)+2))))
+		m.SetRank(i, instances)
+		p := &fakeInstance{Machine: m, number: i, lost: map[core.Endpoint]bool{}, deaf: map[core.Endpoint]bool{}}
+		w.instances = append(w.instances, p)
+		w.step(p, func() []Action { return m.Configure(w.now, members) })
+	}
+	return w
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf("%v: ", w.now.Sub(epoch))+fmt.Sprintf(format, args...))
+}
+
+func (w *world) note(format string, args ...any) {
+	fmt.Fprintf(&w.out, "%v: %s\n", w.now.Sub(epoch).Round(time.Millisecond), fmt.Sprintf(format, args...))
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.number++
+	heap.Push(&w.queue, &event{w.now.Add(d).Sub(epoch), w.number, run})
+}
+
+func (w *world) delay() time.Duration {
+	return time.Millisecond + time.Duration(w.random.Int64N(int64(w.jitter)))
+}
+
+func (w *world) run(d time.Duration) {
+	until := w.now.Add(d)
+	for len(w.queue) > 0 && w.queue[0].at <= until.Sub(epoch) {
+		e := heap.Pop(&w.queue).(*event)
+		w.now = epoch.Add(e.at)
+		e.run()
+	}
+	w.now = until
+}
+
+func (w *world) endpoint(name core.Endpoint) *fakeEndpoint {
+	for _, f := range w.endpoints {
+		if f.name == name {
+			return f
+		}
+	}
+	return nil
+}
+
+// at runs something on an endpoint, now or when it is thawed.
+func (f *fakeEndpoint) at(run func()) {
+	if f.frozen {
+		f.held = append(f.held, run)
+	} else if !f.dead {
+		run()
+	}
+}
+
+func (w *world) thaw(f *fakeEndpoint) {
+	held := f.held
+	f.frozen, f.held = false, nil
+	for _, run := range held {
+		f.at(run)
+	}
+}
+
+func (w *world) resume(p *fakeInstance) {
+	held := p.held
+	p.paused, p.held = false, nil
+	for _, run := range held {
+		run()
+	}
+}
+
+// step gives a machine an event and does what it asks for; on a paused instance
+// both the event and actions wait.
+func (w *world) step(p *fakeInstance, f func() []Action) {
+	if p.paused {
+		p.held = append(p.held, func() { w.step(p, f) })
+		return
+	}
+	actions := f()
+	w.judge(p)
+	for _, a := range actions {
+		w.act(p, a)
+	}
+	if next := p.NextTick(); p.wake.IsZero() || next.Before(p.wake) {
+		p.wake = next
+		w.after(next.Sub(w.now), func() {
+			if p.wake.Equal(next) {
+				p.wake = time.Time{}
+			}
+			w.step(p, func() []Action { return p.Tick(w.now) })
+		})
+	}
+}
+
+// call sends a request to an endpoint and steps the machine with the answer.
+func (w *world) call(p *fakeInstance, name core.Endpoint, request func(f *fakeEndpoint) func() []Action, refused func() []Action) {
+	f := w.endpoint(name)
+	if p.lost[name] {
+		return
+	}
+	w.after(w.delay(), func() {
+		if f.dead {
+			w.after(w.delay(), func() { w.step(p, refused) })
+			return
+		}
+		f.at(func() {
+			answer := request(f)
+			if !p.deaf[name] {
+				w.after(w.delay(), func() { w.step(p, answer) })
+			}
+		})
+	})
+}
+
+func (w *world) act(p *fakeInstance, a Action) {
+	sentAt := w.now
+	switch a.Kind {
+	case ActionSample:
+		w.call(p, a.Endpoint, func(f *fakeEndpoint) func() []Action {
+			s := f.status()
+			return func() []Action { return p.Sampled(w.now, a.Endpoint, sentAt, s) }
+		}, func() []Action { return p.SampleFailed(w.now, a.Endpoint, sentAt, FailureRefused) })
+	case ActionFence:
+		w.call(p, a.Endpoint, func(f *fakeEndpoint) func() []Action {
+			ok := a.Term > f.fence
+			f.fence = max(f.fence, a.Term)
+			s := f.status()
+			return func() []Action { return p.Fenced(w.now, a.Endpoint, a.Term, s, ok) }
+		}, func() []Action { return p.Fenced(w.now, a.Endpoint, a.Term, core.Status{}, false) })
+	case ActionPromote:
+		if p.stops {
+			p.stops, p.paused = false, true
+			p.held = append(p.held, func() { w.act(p, a) })
+			return
+		}
+		w.call(p, a.Endpoint, func(f *fakeEndpoint) func() []Action {
+			ok := w.promote(p, f, a.Term)
+			s := f.status()
+			return func() []Action { return p.PromoteDone(w.now, a.Endpoint, a.Term, ok, s) }
+		}, func() []Action { return p.PromoteDone(w.now, a.Endpoint, a.Term, false, core.Status{}) })
+	case ActionAskOpinions:
+		w.askOpinions(p)
+	case ActionAnnounce:
+		for _, q := range w.instances {
+			if q != p && !w.noPeers {
+				w.after(w.delay(), func() {
+					w.step(q, func() []Action { return q.PeerPromoted(w.now, a.Term, a.Endpoint) })
+				})
+			}
+		}
+	}
+}
+
+func (w *world) askOpinions(p *fakeInstance) {
+	for _, q := range w.instances {
+		if q == p || w.noPeers {
+			continue
+		}
+		w.after(w.delay(), func() {
+			w.step(q, func() []Action {
+				o := q.Opinion(w.now)
+				w.after(w.delay(), func() {
+					w.step(p, func() []Action { return p.Opinions(w.now, []Opinion{o}) })
+				})
+				return nil
+			})
+		})
+	}
+}
+
+// promote makes an endpoint primary and checks what a promotion must keep.
+func (w *world) promote(p *fakeInstance, f *fakeEndpoint, term uint64) bool {
+	if f.fence != term || f.term >= term {
+		w.note("%s refuses promotion at %d by %d, fence %d", f.name, term, p.number, f.fence)
+		return false
+	}
+	for _, o := range w.promotions {
+		if o.Term == term {
+			w.fault("term %d promoted twice", term)
+		}
+	}
+	w.promotions = append(w.promotions, Failover{Term: term, Endpoint: f.name, PromotedAt: w.now})
+	w.note("%s promoted at %d by %d: %s", f.name, term, p.number, p.reason())
+	f.primary, f.term = true, term
+	f.log = append(f.log, entry{term, -1})
+	for _, o := range w.endpoints {
+		f.next[o.name] = len(f.log) - 1
+		delete(f.pushed, o.name)
+	}
+	w.checkKept(f)
+	return true
+}
+
+func (p *fakeInstance) reason() Reason {
+	if p.attempt == nil {
+		return "late"
+	}
+	return p.attempt.reason
+}
+
+// missing returns a write that was acknowledged before a time and is not in a
+// log, zero without one.
+func (w *world) missing(log []entry, before time.Time) int {
+	for _, a := range w.acked {
+		if a.at.Before(before) && (len(log) < a.index || log[a.index-1].id != a.id) {
+			return a.id
+		}
+	}
+	return 0
+}
+
+// checkKept checks that an endpoint has every acknowledged write.
+func (w *world) checkKept(f *fakeEndpoint) {
+	if id := w.missing(f.log, w.now.Add(1)); id != 0 {
+		w.fault("write %d lost by %s at term %d", id, f.name, f.term)
+		w.acked = nil
+	}
+}
+
+// replicate pushes an endpoint's log every 2 ms while it is primary.
+func (w *world) replicate(f *fakeEndpoint) {
+	f.at(func() {
+		if f.primary && f.fence == f.term {
+			for _, o := range w.endpoints {
+				isDue := f.next[o.name] < len(f.log) || w.now.Sub(f.pushed[o.name]) >= 50*time.Millisecond
+				if o != f && !f.cut[o.name] && !o.dead && isDue {
+					f.pushed[o.name] = w.now
+					w.push(f, o)
+				}
+			}
+		}
+	})
+	w.after(2*time.Millisecond, func() { w.replicate(f) })
+}
+
+func (w *world) push(f, o *fakeEndpoint) {
+	from := min(f.next[o.name], len(f.log))
+	term, prev := f.term, uint64(0)
+	if from > 0 {
+		prev = f.log[from-1].term
+	}
+	entries := append([]entry(nil), f.log[from:]...)
+	w.after(w.delay(), func() {
+		o.at(func() {
+			matched, fence := o.take(term, from, prev, entries)
+			w.after(w.delay(), func() {
+				f.at(func() {
+					if fence > f.fence {
+						f.primary, f.fence, f.matched = false, fence, 0
+					} else if f.term == term {
+						f.next[o.name] = matched
+					}
+				})
+			})
+		})
+	})
+}
+
+// take applies a push: the match or where to go back to, and the fence.
+func (f *fakeEndpoint) take(term uint64, from int, prev uint64, entries []entry) (int, uint64) {
+	if f.fence > term {
+		return 0, f.fence
+	}
+	if term > f.term {
+		f.term, f.matched = term, 0
+	}
+	f.fence, f.primary = term, false
+	if from > len(f.log) || from > 0 && f.log[from-1].term != prev {
+		return max(min(from-1, len(f.log)), 0), term
+	}
+	for i, e := range entries {
+		if n := from + i; n < len(f.log) && f.log[n] != e {
+			f.log = f.log[:n]
+		}
+		if from+i == len(f.log) {
+			f.log = append(f.log, e)
+		}
+	}
+	f.matched = max(f.matched, from+len(entries))
+	return from + len(entries), term
+}
+
+// submit sends a write or a read through an instance.
+func (w *world) submit(p *fakeInstance, isRead bool) {
+	term, primary := p.Primary()
+	if p.paused || primary == "" || p.Confirmed().Closed {
+		return
+	}
+	w.written++
+	s := statement{id: w.written, arrival: w.now, term: term}
+	w.call(p, primary, func(f *fakeEndpoint) func() []Action {
+		if !f.primary || !isRead && f.fence != f.term {
+			return func() []Action { return nil }
+		}
+		if isRead {
+			s.missed = w.missing(f.log, s.arrival)
+		} else {
+			f.log = append(f.log, entry{f.term, s.id})
+			s.index = len(f.log)
+		}
+		sentAt, status := w.now, f.status()
+		return func() []Action {
+			s.point = status.Durable()
+			p.waiting = append(p.waiting, s)
+			p.Machine.waiting = len(p.waiting)
+			return p.Sampled(w.now, primary, sentAt, status)
+		}
+	}, func() []Action { return p.Evidence(w.now, primary, FailureRefused) })
+}
+
+// judge answers the statements that wait at an instance.
+func (w *world) judge(p *fakeInstance) {
+	var left []statement
+	for _, s := range p.waiting {
+		switch p.Confirmed().Verdict(s.arrival, s.term, s.point) {
+		case VerdictPending:
+			left = append(left, s)
+		case VerdictUnknown:
+			w.unknown++
+		case VerdictConfirmed:
+			w.acknowledge(s)
+		}
+	}
+	p.waiting = left
+	p.Machine.waiting = len(left)
+}
+
+func (w *world) acknowledge(s statement) {
+	for _, o := range w.promotions {
+		if o.Term > s.point.Term && !o.PromotedAt.After(s.arrival) {
+			w.fault("statement %d answered by the replaced primary of term %d", s.id, s.point.Term)
+		}
+	}
+	if s.index > 0 {
+		w.acked = append(w.acked, ack{s.id, s.index, w.now})
+	} else if s.missed > 0 {
+		w.fault("read %d missed write %d, acknowledged before", s.id, s.missed)
+	}
+}
