--- /dev/null
+++ b/cli/serve.go
@@ -0,0 +1,47 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"anviltack/instance"
+	"anviltack/io/platform"
+	"anviltack/settings"
+)
+
+type serveCmd struct {
+	Settings string `arg:"" help:"Settings file: JSON with comments." type:"path"`
+}
+
+// Run serves callers until a signal begins a planned stop and that is done.
+func (c *serveCmd) Run(s *streams) error {
+	checked, err := settings.Load(c.Settings)
+	if err != nil {
+		return &statusError{status: exitSettings, err: err}
+	}
+	log := logrus.New()
+	log.SetOutput(s.err)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	level, err := logrus.ParseLevel(checked.Level)
+	if err != nil {
+		return fmt.Errorf("cli: bad log level: %w", err)
+	}
+	log.SetLevel(level)
+	client := platform.New(checked.Platform)
+	in := instance.New(checked, instance.WithLog(log), instance.WithPlatform(client.Platform(), client.List()))
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	go func() {
+		for range signals {
+			in.Drain()
+		}
+	}()
+	return in.Serve(context.Background())
+}
--- /dev/null
+++ b/instance/session.go
@@ -0,0 +1,250 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"anviltack/core"
+	"anviltack/core/mark"
+	"anviltack/core/patch"
+	"anviltack/io/caller"
+	"anviltack/io/endpoint"
+)
+
+// defaultDeadline bounds a statement when neither its caller nor the
+// configuration states a deadline.
+const defaultDeadline = 5 * time.Second
+
+// session is one caller's session; only its own goroutine touches it, but for
+// the fields in sessionEntry.
+type session struct {
+	*sessionEntry
+	instance *Instance
+	conn     *caller.Conn
+	login    caller.Login
+	database patch.Database
+	group    *Group
+	// defaults are what the session's parameters state.
+	defaults annotation
+	// marks are the points that reads of this session must cover.
+	marks *mark.Marks
+	// markedAt is when the mark of the session's group was raised last.
+	markedAt time.Time
+	// unreported tells that the marks changed since the caller was told them.
+	unreported bool
+	reads      reads
+	prepared   map[string]*prepared
+	// state is what the caller set for the session.
+	state sessionState
+	// held is the connection of an open transaction, or nil.
+	held *hold
+}
+
+// hold is an endpoint connection with an open transaction.
+type hold struct {
+	conn  *endpoint.Conn
+	links *links
+}
+
+// serve answers one caller until the session ends.
+func (in *Instance) serve(ctx context.Context, nc net.Conn) {
+	conn := caller.NewConn(nc, in.settings.Message)
+	defer conn.Close()
+	defer context.AfterFunc(ctx, conn.Close)()
+	conn.SetReadDeadline(time.Now().Add(startLimit))
+	s, err := in.start(conn)
+	var cancelled *caller.CancelError
+	if errors.As(err, &cancelled) {
+		in.sessions.cancel(ctx, cancelled.Key)
+		return
+	}
+	if err != nil {
+		in.reject(conn, err)
+		return
+	}
+	conn.SetReadDeadline(time.Time{})
+	defer s.end()
+	if err := s.run(); err != nil {
+		in.event(core.EventSessionError).WithField("caller", s.login.Caller).WithError(err).Debug("session ended")
+		in.reject(conn, err)
+	}
+}
+
+// startLimit bounds the time from accept to the first statement.
+const startLimit = 10 * time.Second
+
+// reject sends a last error when there is one to tell.
+func (in *Instance) reject(conn *caller.Conn, err error) {
+	var e *core.Error
+	if !errors.As(err, &e) {
+		return
+	}
+	in.counts.refusals.Inc(1)
+	conn.SendError(caller.SeverityFatal, e)
+	_ = conn.Flush()
+}
+
+// start takes a connection through start-up and authentication.
+func (in *Instance) start(conn *caller.Conn) (*session, error) {
+	login, err := conn.Start()
+	if err != nil {
+		return nil, err
+	}
+	if in.isDraining() {
+		return nil, draining()
+	}
+	view := in.View()
+	known := view.Config.Callers[login.Caller]
+	if err := conn.Authenticate(known.Secret); err != nil {
+		return nil, err
+	}
+	database, ok := view.Config.Databases[login.Database]
+	if !ok {
+		return nil, core.NewError(core.CodeUnknownDatabase, "database %q does not exist", login.Database)
+	}
+	if !mayReach(known, login.Database) {
+		return nil, core.NewError(core.CodeNotAllowed, "caller %q may not reach database %q", login.Caller, login.Database)
+	}
+	s := &session{
+		instance: in,
+		conn:     conn,
+		login:    login,
+		database: database,
+		group:    view.Groups[database.Group],
+		marks:    mark.New(time.Now()),
+		reads:    reads{router: in.newRouter()},
+		prepared: make(map[string]*prepared),
+	}
+	for name, value := range login.Options() {
+		if e := s.setOption(name, value); e != nil {
+			return nil, e
+		}
+	}
+	s.login.Parameters = nil
+	if s.sessionEntry, err = in.sessions.add(in.settings.Sessions, conn.Interrupt); err != nil {
+		return nil, err
+	}
+	in.counts.sessions.Inc(1)
+	if err := conn.Welcome(s.key, welcomeParameters(s.marks)); err != nil {
+		s.end()
+		return nil, err
+	}
+	return s, nil
+}
+
+func mayReach(c patch.Caller, d core.Database) bool {
+	for _, allowed := range c.Databases {
+		if allowed == d {
+			return true
+		}
+	}
+	return false
+}
+
+func welcomeParameters(marks *mark.Marks) []pgproto3.ParameterStatus {
+	return []pgproto3.ParameterStatus{
+		{Name: "server_version", Value: "15.0"},
+		{Name: "server_encoding", Value: "UTF8"},
+		{Name: "client_encoding", Value: "UTF8"},
+		{Name: "standard_conforming_strings", Value: "on"},
+		{Name: "integer_datetimes", Value: "on"},
+		{Name: "DateStyle", Value: "ISO, MDY"},
+		{Name: "TimeZone", Value: "UTC"},
+		{Name: parameterPrefix + nameMark, Value: marks.String()},
+	}
+}
+
+// run serves units until the caller ends the session.
+func (s *session) run() error {
+	for {
+		if s.held == nil && s.instance.isDraining() {
+			return draining()
+		}
+		u, err := s.nextUnit()
+		if err != nil && s.isEnding() {
+			return draining()
+		}
+		if err != nil || u == nil {
+			return err
+		}
+		u.deadline = u.arrived.Add(s.limit(u.annotation))
+		if err := s.serveUnit(u); err != nil {
+			return err
+		}
+		s.rest(s.held != nil)
+	}
+}
+
+// draining tells a caller between requests that the instance is stopping.
+func draining() *core.Error {
+	return core.NewError(core.CodeDraining, "the instance is stopping, connect again")
+}
+
+// limit is how long a statement may take.
+func (s *session) limit(a annotation) time.Duration {
+	if a.deadline > 0 {
+		return a.deadline
+	}
+	if d := s.instance.View().Config.Limits.Deadline; d > 0 {
+		return time.Duration(d)
+	}
+	return defaultDeadline
+}
+
+// serveUnit answers one unit; its error ends the session.
+func (s *session) serveUnit(u *unit) error {
+	s.instance.counts.statements.Inc(1)
+	if u.fault != nil && s.held == nil {
+		return s.refuse(u.fault)
+	}
+	if handled, err := s.serveParameter(u); handled {
+		return err
+	}
+	switch {
+	case s.held != nil:
+		return s.serveHeld(u)
+	case u.isRead():
+		return s.serveRead(u)
+	default:
+		return s.serveWrite(u)
+	}
+}
+
+// refuse answers a unit that did not run.
+func (s *session) refuse(e *core.Error) error {
+	s.instance.counts.refusals.Inc(1)
+	s.conn.SendError(caller.SeverityError, e)
+	return s.ready('I')
+}
+
+// ready ends the answer to a unit.
+func (s *session) ready(status byte) error {
+	if s.unreported {
+		s.conn.Send(&pgproto3.ParameterStatus{Name: parameterPrefix + nameMark, Value: s.marks.String()})
+		s.unreported = false
+	}
+	s.conn.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	return s.conn.Flush()
+}
+
+// status is the transaction status that the caller sees.
+func (s *session) status() byte {
+	if s.held != nil {
+		return 'T'
+	}
+	return 'I'
+}
+
+// end releases what the session holds.
+func (s *session) end() {
+	if s.held != nil {
+		s.held.links.put(s.held.conn, false)
+		s.held = nil
+	}
+	s.instance.sessions.remove(s.sessionEntry)
+	clear(s.prepared)
+}
