Run failovers in the instance and let the machine confirm answers

The instance took the primary that samples showed and never replaced it. Each group's machine now drives its samplers: samples, fences and promotions are orders to one goroutine per endpoint, peers are asked for opinions and told of promotions, and the view publishes what is confirmed and whether the group takes writes.

A write that finds the group closed waits while a failover is likely to end before its deadline and the queue has room; the rest are refused at once with the time to come back, as NoPrimary or NotReplicating. Statements that run on a replaced primary stop waiting for it and answer outcome unknown. A transaction whose primary was replaced answers TransactionLost before its next statement is sent. An answer goes out only in the term in which its statement was sent, so a primary that lost its tail and came back in between cannot confirm it.

--- a/core/event.go
+++ b/core/event.go
@@ -5,17 +5,19 @@
 
 // The log events.
 const (
-	EventStarted      Event = 100
-	EventStopped      Event = 101
-	EventService      Event = 102
-	EventListening    Event = 103
-	EventDraining     Event = 104
-	EventCut          Event = 105
-	EventConfig       Event = 200
-	EventConfigSource Event = 201
-	EventConfigBehind Event = 202
-	EventPrimary      Event = 300
-	EventSampleFailed Event = 301
-	EventSession      Event = 400
-	EventSessionError Event = 401
+	EventStarted       Event = 100
+	EventStopped       Event = 101
+	EventService       Event = 102
+	EventListening     Event = 103
+	EventDraining      Event = 104
+	EventCut           Event = 105
+	EventConfig        Event = 200
+	EventConfigSource  Event = 201
+	EventConfigBehind  Event = 202
+	EventPrimary       Event = 300
+	EventSampleFailed  Event = 301
+	EventFailoverBegun Event = 302
+	EventFailover      Event = 303
+	EventSession       Event = 400
+	EventSessionError  Event = 401
 )
--- a/core/group/action.go
+++ b/core/group/action.go
@@ -28,6 +28,8 @@
 	// Fresh asks for a sample over a new connection, because the one in use
 	// gave no answer.
 	Fresh bool
+	// Reason is why a fence is asked for.
+	Reason Reason
 }
 
 // Failure says how an attempt to reach an endpoint failed.
--- a/core/group/attempt.go
+++ b/core/group/attempt.go
@@ -127,7 +127,7 @@
 	m.tried = a.term
 	var actions []Action
 	for _, e := range m.members {
-		actions = append(actions, Action{Kind: ActionFence, Endpoint: e.Name, Term: a.term})
+		actions = append(actions, Action{Kind: ActionFence, Endpoint: e.Name, Term: a.term, Reason: a.reason})
 	}
 	return actions
 }
--- a/core/group/confirm.go
+++ b/core/group/confirm.go
@@ -55,18 +55,6 @@
 	return e.status.Durable(), true
 }
 
-// IsReplicating reports whether enough replicas answer in the primary's term for
-// a new write to be confirmed.
-func (m *Machine) IsReplicating(now time.Time) bool {
-	n := 0
-	for _, e := range m.members {
-		if e.holds(m.term) && (e.Name == m.primary || m.isReachable(e, now)) {
-			n++
-		}
-	}
-	return n >= m.majority() && m.stalled(now) < m.periods.Stall/2
-}
-
 // confirm recomputes the confirmation from the newest statuses.
 func (m *Machine) confirm(now time.Time) {
 	c := &m.confirmed
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -26,7 +26,9 @@
 	return s
 }
 
-// judge returns the first kind of failure that the evidence shows.
+// judge returns the first kind of failure that the evidence shows. A group that
+// never had a term never had a primary, and who becomes its first one is not
+// decided here.
 func (m *Machine) judge(now time.Time) suspicion {
 	e := m.member(m.primary)
 	if e != nil {
@@ -41,7 +43,7 @@
 			return suspicion{reason: ReasonStalled, since: now.Add(-d), suspect: e.Name}
 		}
 	}
-	if !m.absentSince.IsZero() && now.Sub(m.absentSince) >= m.absence(now) {
+	if m.fence > 0 && !m.absentSince.IsZero() && now.Sub(m.absentSince) >= m.absence(now) {
 		return suspicion{reason: ReasonAbsent, since: m.absentSince}
 	}
 	return suspicion{}
--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -52,7 +52,9 @@
 	// unconfirmedAt is when the primary was first seen ahead of the confirmed
 	// position; zero while it is not.
 	unconfirmedAt time.Time
-	last          Failover
+	// closedSince is when the group stopped taking writes; zero while it does.
+	closedSince time.Time
+	last        Failover
 }
 
 // New returns a machine that knows no members yet.
@@ -86,7 +88,9 @@
 		m.members = append(m.members, e)
 	}
 	slices.SortFunc(m.members, func(a, b *member) int { return strings.Compare(string(a.Name), string(b.Name)) })
-	m.attempt = nil
+	if !slices.EqualFunc(m.members, old, func(a, b *member) bool { return a == b }) {
+		m.attempt = nil
+	}
 	return m.run(now)
 }
 
@@ -117,13 +121,17 @@
 	return m.run(now)
 }
 
-// Evidence takes what callers' traffic shows of an endpoint.
+// Evidence takes what callers' traffic shows of an endpoint. A timeout may be the
+// statement's own, so it only asks for a sample.
 func (m *Machine) Evidence(now time.Time, endpoint core.Endpoint, f Failure) []Action {
 	m.advance(now)
 	if e := m.member(endpoint); e != nil {
-		if f == Answered {
+		switch f {
+		case Answered:
 			e.answered(now)
-		} else {
+		case FailureTimeout:
+			e.nextSample = now
+		default:
 			e.failed(now, f, &m.periods)
 		}
 	}
@@ -168,7 +176,7 @@
 	}
 	next := m.now.Add(idleTick)
 	for _, e := range m.members {
-		if len(e.outstanding) < m.inFlight() && e.nextSample.Before(next) {
+		if len(e.outstanding) == 0 && e.nextSample.Before(next) {
 			next = e.nextSample
 		}
 	}
@@ -214,7 +222,9 @@
 // run draws the conclusions of an event.
 func (m *Machine) run(now time.Time) []Action {
 	m.confirm(now)
-	return append(m.decide(now), m.schedule(now)...)
+	actions := append(m.decide(now), m.schedule(now)...)
+	m.noteClosed(now)
+	return actions
 }
 
 // observe takes a status into account.
--- a/core/group/option.go
+++ b/core/group/option.go
@@ -10,7 +10,7 @@
 	// DefaultSamplePeriod separates samples of an endpoint when nothing waits.
 	DefaultSamplePeriod = 50 * time.Millisecond
 	// DefaultBusyPeriod separates samples while statements wait for confirmation.
-	DefaultBusyPeriod = 2 * time.Millisecond
+	DefaultBusyPeriod = 500 * time.Microsecond
 	// DefaultSampleTimeout is how long a sample may take before it is repeated
 	// over a new connection.
 	DefaultSampleTimeout = 250 * time.Millisecond
@@ -56,9 +56,6 @@
 	idleTick = 25 * time.Millisecond
 	// activeTick is the time between ticks while a failover is considered.
 	activeTick = 5 * time.Millisecond
-	// busySamples is the number of samples in flight per endpoint while
-	// statements wait for confirmation.
-	busySamples = 2
 	// minRefusals is the number of refusals that count as a dead primary.
 	minRefusals = 2
 )
--- a/core/group/schedule.go
+++ b/core/group/schedule.go
@@ -8,14 +8,6 @@
 	return m.waiting > 0 || m.primary != "" && m.confirmed.AsOf.IsZero()
 }
 
-// inFlight returns how many samples of one endpoint may be outstanding.
-func (m *Machine) inFlight() int {
-	if m.isBusy() {
-		return busySamples
-	}
-	return 1
-}
-
 // samplePeriod returns the time between two samples of one endpoint.
 func (m *Machine) samplePeriod() time.Duration {
 	if m.isBusy() {
@@ -29,7 +21,7 @@
 	var actions []Action
 	for _, e := range m.members {
 		m.expire(e, now)
-		if len(e.outstanding) >= m.inFlight() || now.Before(e.nextSample) {
+		if len(e.outstanding) > 0 || now.Before(e.nextSample) {
 			continue
 		}
 		period := m.samplePeriod()
--- a/instance/beater.go
+++ b/instance/beater.go
@@ -126,7 +126,9 @@
 			brief := held.Brief()
 			return peer.Update{Version: held.Version, Document: &brief}
 		},
-		Push: in.pushed,
+		Push:     in.pushed,
+		Opinion:  in.opinion,
+		Promoted: in.promoted,
 	}
 }
 
--- a/instance/control.go
+++ b/instance/control.go
@@ -13,6 +13,12 @@
 // controlQueue is how many events may wait for the control goroutine.
 const controlQueue = 4096
 
+// Bounds of the time between two ticks of the control goroutine.
+const (
+	minTick = 200 * time.Microsecond
+	maxTick = 25 * time.Millisecond
+)
+
 // control owns the state machines; only its own goroutine touches its fields.
 type control struct {
 	instance *Instance
@@ -38,14 +44,30 @@
 
 // Serve handles events until the context ends.
 func (c *control) Serve(ctx context.Context) error {
+	timer := time.NewTimer(maxTick)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case handle := <-c.events:
 			handle(time.Now())
+		case <-timer.C:
+		}
+		timer.Reset(c.tick(time.Now()))
+	}
+}
+
+// tick lets time pass for the groups that are due and returns when to tick next.
+func (c *control) tick(now time.Time) time.Duration {
+	pause := maxTick
+	for _, g := range c.groups {
+		if !g.due.After(now) {
+			g.tick(now)
 		}
+		pause = min(pause, g.due.Sub(now))
 	}
+	return max(pause, minTick)
 }
 
 // post hands an event to the control goroutine and waits while its queue is full.
@@ -70,6 +92,7 @@
 	if version <= c.version {
 		return
 	}
+	now := time.Now()
 	c.version, c.config = version, config
 	view := &View{Version: version, Config: config, Groups: make(map[core.Group]*Group, len(config.Groups))}
 	for name, group := range config.Groups {
@@ -78,12 +101,12 @@
 			g = newGroupControl(c, name)
 			c.groups[name] = g
 		}
-		g.configure(c.fleet.overlay(group))
+		g.configure(now, c.fleet.overlay(group))
 		view.Groups[name] = g.group
 	}
 	for name, g := range c.groups {
 		if _, ok := config.Groups[name]; !ok {
-			g.configure(patch.Group{})
+			g.configure(now, patch.Group{})
 			delete(c.groups, name)
 		}
 	}
@@ -94,6 +117,6 @@
 // reconfigure hands the configuration in force to the groups again.
 func (c *control) reconfigure() {
 	for name, g := range c.groups {
-		g.configure(c.fleet.overlay(c.config.Groups[name]))
+		g.configure(time.Now(), c.fleet.overlay(c.config.Groups[name]))
 	}
 }
--- a/instance/group.go
+++ b/instance/group.go
@@ -1,12 +1,12 @@
 package instance
 
 import (
-	"slices"
 	"time"
 
 	"github.com/thejerf/suture/v4"
 
 	"anviltack/core"
+	"anviltack/core/group"
 	"anviltack/core/mark"
 	"anviltack/core/patch"
 	"anviltack/core/route"
@@ -18,9 +18,21 @@
 	control *control
 	group   *Group
 	members map[core.Endpoint]*memberControl
-	// term is the highest term in which a primary was seen; it never falls.
+	// machine decides on the primary and on what is confirmed.
+	machine *group.Machine
+	// due is when machine has to be told the time at the latest.
+	due time.Time
+	// waiting is what machine knows of statements that wait.
+	waiting bool
+	// term and primary are those that were logged last; term never falls.
 	term    uint64
 	primary core.Endpoint
+	// suspected and reported are the terms of the failovers logged last, at
+	// their begin and at their end.
+	suspected uint64
+	reported  uint64
+	// shown is what was published last.
+	shown   shown
 	tracker *mark.Tracker
 	// tracked are the names of the members that tracker knows, sorted.
 	tracked []core.Endpoint
@@ -30,7 +42,7 @@
 type memberControl struct {
 	member  Member
 	config  patch.Endpoint
-	wake    chan struct{}
+	orders  chan order
 	sampler suture.ServiceToken
 	pace    route.Pace
 }
@@ -41,6 +53,12 @@
 		group:   &Group{Name: name},
 		members: make(map[core.Endpoint]*memberControl),
 	}
+	in := c.instance
+	periods := group.DefaultPeriods()
+	periods.Sample = in.settings.Sample
+	periods.SampleTimeout = in.settings.Answer
+	g.machine = group.New(name, in.settings.Instance, group.WithPeriods(periods))
+	g.group.hurry = func() { c.offer(g.hurried) }
 	g.track()
 	g.publish()
 	return g
@@ -48,7 +66,7 @@
 
 // configure starts a sampler for every new member and stops those of members
 // that are gone.
-func (g *groupControl) configure(config patch.Group) {
+func (g *groupControl) configure(now time.Time, config patch.Group) {
 	for name, m := range g.members {
 		if e, ok := config.Endpoints[name]; !ok || e.Address != m.config.Address {
 			g.remove(name, m)
@@ -65,21 +83,19 @@
 		m.member.Slots = e.Slots
 	}
 	g.track()
-	wake := make([]chan struct{}, 0, len(g.members))
-	for _, m := range g.members {
-		wake = append(wake, m.wake)
-	}
-	g.group.wake.Store(&wake)
 	g.publish()
+	g.rank(now)
+	g.step(now, func(now time.Time) []group.Action { return g.machine.Configure(now, g.groupMembers()) })
 }
 
 func (g *groupControl) add(name core.Endpoint, e patch.Endpoint) *memberControl {
 	m := &memberControl{
 		config: e,
-		wake:   make(chan struct{}, 1),
+		orders: make(chan order, samplerQueue),
 		member: Member{Name: name, DataCentre: e.DataCentre, links: newLinks(g.control.instance, name, e), load: newLoad()},
 	}
-	m.sampler = g.control.samplers.Add(newSampler(g, name, e.Address, m.wake))
+	m.member.links.evidence = func(err error) { g.evidence(name, err) }
+	m.sampler = g.control.samplers.Add(newSampler(g, name, e.Address, m.orders))
 	g.members[name] = m
 	return m
 }
@@ -93,41 +109,56 @@
 // sampled takes in a status that was asked for at sentAt.
 func (g *groupControl) sampled(name core.Endpoint, sentAt, now time.Time, s core.Status) {
 	m, ok := g.members[name]
-	if !ok || sentAt.Before(m.member.SampledAt) {
+	if !ok {
+		return
+	}
+	g.step(now, func(now time.Time) []group.Action { return g.machine.Sampled(now, name, sentAt, s) })
+	if sentAt.Before(m.member.SampledAt) {
 		return
 	}
 	m.member.Status = s
 	m.member.SampledAt = sentAt
-	if s.Role == core.RolePrimary && s.Fence == s.Term && s.Term > g.term {
-		g.term = s.Term
-		g.primary = name
-		g.control.instance.event(core.EventPrimary).WithField("group", g.group.Name).
-			WithField("endpoint", name).WithField("term", s.Term).Info("primary")
-	}
 	g.observe(m, sentAt, now)
 	g.publish()
 }
 
+// evidence takes in a failure that traffic met at an endpoint.
+func (g *groupControl) evidence(name core.Endpoint, err error) {
+	f := failureOf(err)
+	g.control.offer(func(now time.Time) {
+		g.step(now, func(now time.Time) []group.Action { return g.machine.Evidence(now, name, f) })
+	})
+}
+
+// shown is the part of a published state that changes without a sample.
+type shown struct {
+	term         uint64
+	primary      core.Endpoint
+	closed       bool
+	availability group.Availability
+}
+
+func (g *groupControl) current() shown {
+	term, primary := g.machine.Primary()
+	return shown{term: term, primary: primary, closed: g.machine.Confirmed().Closed, availability: g.machine.Availability()}
+}
+
+// isStale reports whether the published state has to be replaced.
+func (g *groupControl) isStale() bool { return g.current() != g.shown }
+
 func (g *groupControl) publish() {
-	s := &GroupState{Term: g.term, Primary: g.primary, Members: make(map[core.Endpoint]*Member, len(g.members))}
-	var positions []uint64
-	var times []time.Time
+	g.shown = g.current()
+	c := g.machine.Confirmed()
+	s := &GroupState{
+		Term: g.shown.term, Primary: g.shown.primary, Members: make(map[core.Endpoint]*Member, len(g.members)),
+		Confirmation: c, Availability: g.shown.availability,
+		Confirmed: core.Point{Term: c.Term, Position: c.Position}, AsOf: c.AsOf,
+	}
 	for name, m := range g.members {
 		g.refresh(m)
 		member := m.member
 		s.Members[name] = &member
-		if m.member.Status.Term == g.term && m.member.Status.Fence == g.term && g.term > 0 {
-			positions = append(positions, m.member.Status.Received)
-			times = append(times, m.member.SampledAt)
-		}
 	}
 	s.Newest, _ = g.tracker.History().Newest()
-	majority := len(g.members)/2 + 1
-	if len(positions) >= majority {
-		slices.Sort(positions)
-		slices.SortFunc(times, time.Time.Compare)
-		s.Confirmed = core.Point{Term: g.term, Position: positions[len(positions)-majority]}
-		s.AsOf = times[len(times)-majority]
-	}
 	g.group.publish(s)
 }
--- a/instance/links.go
+++ b/instance/links.go
@@ -23,6 +23,8 @@
 	instance *Instance
 	name     core.Endpoint
 	address  netip.AddrPort
+	// evidence takes what a failure of a connection shows of the endpoint.
+	evidence func(err error)
 	// tokens holds one token for each connection that may be in use.
 	tokens chan struct{}
 
@@ -83,6 +85,7 @@
 	if err == nil {
 		return c, nil
 	}
+	l.evidence(err)
 	var s *endpoint.ServerError
 	if errors.As(err, &s) && s.State == stateTooManyConnections {
 		return nil, core.NewError(core.CodeNoConnection, "%s takes no more connections", l.name)
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -13,6 +13,7 @@
 	readRetries    metrics.Counter
 	readWaits      metrics.Counter
 	samples        metrics.Counter
+	failovers      metrics.Counter
 }
 
 func newCounts(r metrics.Registry) counts {
@@ -25,6 +26,7 @@
 		readsOnPrimary: metrics.NewRegisteredCounter("reads_on_primary", r),
 		readRetries:    metrics.NewRegisteredCounter("read_retries", r),
 		readWaits:      metrics.NewRegisteredCounter("read_waits", r),
+		failovers:      metrics.NewRegisteredCounter("failovers", r),
 		samples:        metrics.NewRegisteredCounter("samples", r),
 	}
 }
--- a/instance/read.go
+++ b/instance/read.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/group"
 	"anviltack/core/patch"
 	"anviltack/core/route"
 	"anviltack/io/endpoint"
@@ -203,9 +204,9 @@
 func (w *work) finishOnPrimary(status core.Status) (bool, error) {
 	s, p := w.session, status.Durable()
 	state, _ := s.group.await(w.unit.deadline, func(g *GroupState) bool {
-		return g.Term > p.Term || isConfirmed(g, p, w.unit.arrived)
+		return g.Confirmation.Verdict(w.unit.arrived, w.term, p) != group.VerdictPending
 	})
-	if !isConfirmed(state, p, w.unit.arrived) || !p.Covers(s.reads.request.Need.Point) {
+	if state.Confirmation.Verdict(w.unit.arrived, w.term, p) != group.VerdictConfirmed || !p.Covers(s.reads.request.Need.Point) {
 		return w.giveUp()
 	}
 	s.instance.counts.readsOnPrimary.Inc(1)
--- a/instance/session.go
+++ b/instance/session.go
@@ -12,7 +12,6 @@
 	"anviltack/core/mark"
 	"anviltack/core/patch"
 	"anviltack/io/caller"
-	"anviltack/io/endpoint"
 )
 
 // defaultDeadline bounds a statement when neither its caller nor the
@@ -44,12 +43,6 @@
 	held *hold
 }
 
-// hold is an endpoint connection with an open transaction.
-type hold struct {
-	conn  *endpoint.Conn
-	links *links
-}
-
 // serve answers one caller until the session ends.
 func (in *Instance) serve(ctx context.Context, nc net.Conn) {
 	conn := caller.NewConn(nc, in.settings.Message)
--- a/instance/sessions.go
+++ b/instance/sessions.go
@@ -4,6 +4,9 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"maps"
+	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -91,6 +94,20 @@
 	_ = e.running.Cancel(ctx)
 }
 
+// abort ends the wait of every statement that runs at an address.
+func (s *sessions) abort(address netip.AddrPort) {
+	s.mu.Lock()
+	entries := slices.Collect(maps.Values(s.entries))
+	s.mu.Unlock()
+	for _, e := range entries {
+		e.mu.Lock()
+		if e.running != nil && e.running.Address == address {
+			e.running.Abort()
+		}
+		e.mu.Unlock()
+	}
+}
+
 // begin notes the connection on which the session's statement runs.
 func (e *sessionEntry) begin(c *endpoint.Conn) {
 	e.mu.Lock()
--- /dev/null
+++ b/instance/submission.go
@@ -0,0 +1,84 @@
+package instance
+
+import (
+	"strings"
+	"time"
+
+	"anviltack/core"
+	"anviltack/io/caller"
+	"anviltack/io/endpoint"
+)
+
+// keyExistsTag is the tag of a submission key's insertion that did nothing.
+const keyExistsTag = "INSERT 0 0"
+
+// writeOnce runs the unit in one transaction with its submission key.
+func (w *work) writeOnce() (bool, error) {
+	w.x.query(beginStatement)
+	w.x.query("INSERT INTO anviltack_submission (key) VALUES (" + quote(w.unit.annotation.submission) + ") ON CONFLICT DO NOTHING")
+	if err := w.conn.Flush(); err != nil {
+		return false, w.lost()
+	}
+	if _, err := w.x.skip(); err != nil {
+		return false, w.lost()
+	}
+	o, err := w.x.skip()
+	if err != nil {
+		return false, w.lost()
+	}
+	sentAt := time.Now()
+	found := o.tag == keyExistsTag
+	if found || o.failure != "" {
+		w.x.query(rollbackStatement)
+	} else {
+		w.x.unit(w.unit)
+		w.x.query(commitStatement)
+	}
+	w.x.query(endpoint.StatusStatement)
+	if err := w.conn.Flush(); err != nil {
+		return false, w.lost()
+	}
+	return w.finishOnce(found, o.failure, sentAt)
+}
+
+// finishOnce reads the answers of the transaction and answers the caller.
+func (w *work) finishOnce(found bool, failure string, sentAt time.Time) (bool, error) {
+	var o outcome
+	var err error
+	if !found && failure == "" {
+		if o, err = w.x.answer(); err != nil {
+			return false, w.lost()
+		}
+	}
+	end, err := w.x.skip()
+	if err != nil {
+		return false, w.lost()
+	}
+	status, err := w.status(sentAt)
+	if err != nil {
+		return false, w.lost()
+	}
+	isRolledBack := !found && end.tag != commitStatement
+	if isRolledBack && (failure == stateReadOnly || end.failure == stateReadOnly) && w.isReplaced(status) {
+		return true, nil
+	}
+	w.release(true)
+	switch {
+	case found:
+		w.session.conn.SendError(caller.SeverityError, core.NewError(core.CodeAlreadyRan, "a submission with this key ran already"))
+		return false, w.session.confirm(w.unit, w.term, status, w.x)
+	case failure != "":
+		return false, w.session.refuse(core.NewError(core.CodeNoPrimary, "the submission key could not be stored (SQLSTATE %s)", failure).WithRetry(primaryPause))
+	case end.tag == commitStatement:
+		return false, w.session.confirm(w.unit, w.term, status, w.x)
+	case o.failure != "":
+		return false, w.session.ready('I')
+	}
+	w.x.retract()
+	return false, w.session.refuse(core.NewError(core.CodeNoPrimary, "the transaction was rolled back").WithRetry(primaryPause))
+}
+
+// quote returns a text as an SQL literal.
+func quote(s string) string {
+	return "'" + strings.ReplaceAll(s, "'", "''") + "'"
+}
--- a/instance/view.go
+++ b/instance/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/group"
 	"anviltack/core/mark"
 	"anviltack/core/patch"
 	"anviltack/core/route"
@@ -26,8 +27,10 @@
 	// not rest while it is above zero.
 	waiting atomic.Int64
 	state   atomic.Pointer[GroupState]
-	// wake holds one channel of capacity 1 for each sampler; replaced whole.
-	wake atomic.Pointer[[]chan struct{}]
+	// queued counts the writes that wait for the group to take writes again.
+	queued atomic.Int64
+	// hurry tells the control goroutine that a statement waits.
+	hurry func()
 }
 
 // GroupState is one state of a group; it never changes but for next, which is
@@ -41,6 +44,10 @@
 	Confirmed core.Point
 	// AsOf is a time at which the primary of Term was still the primary.
 	AsOf time.Time
+	// Confirmation is the rule by which answers go out.
+	Confirmation group.Confirmation
+	// Availability tells whether the group takes writes.
+	Availability group.Availability
 	// Newest is the newest sample of the group; zero when there is none.
 	Newest mark.Sample
 
@@ -104,19 +111,5 @@
 	}
 }
 
-// hurry makes the samplers of the group take a sample now.
-func (g *Group) hurry() {
-	wake := g.wake.Load()
-	if wake == nil {
-		return
-	}
-	for _, c := range *wake {
-		select {
-		case c <- struct{}{}:
-		default:
-		}
-	}
-}
-
 // primary returns the member that is the primary, or nil.
 func (s *GroupState) primary() *Member { return s.Members[s.Primary] }
--- a/instance/write.go
+++ b/instance/write.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"strings"
 	"time"
 
 	"anviltack/core"
@@ -16,8 +15,6 @@
 	rollbackStatement      = "ROLLBACK"
 
 	rollbackTag = "ROLLBACK"
-	// keyExistsTag is the tag of a submission key's insertion that did nothing.
-	keyExistsTag = "INSERT 0 0"
 	// stateReadOnly is the SQLSTATE of a write on an endpoint that takes none.
 	stateReadOnly = "25006"
 )
@@ -25,6 +22,10 @@
 // primaryPause is the advice to a caller that found no primary.
 const primaryPause = time.Second
 
+// replacedPause bounds the wait for the news of a replaced primary before a
+// write is tried again.
+const replacedPause = 50 * time.Millisecond
+
 // work is one unit on one endpoint connection.
 type work struct {
 	session *session
@@ -51,23 +52,14 @@
 	}
 }
 
-// onPrimary takes a connection to the primary for a unit.
-func (s *session) onPrimary(u *unit) (*work, *core.Error) {
-	state, ok := s.group.await(u.deadline, func(g *GroupState) bool { return g.primary() != nil })
-	if !ok {
-		return nil, core.NewError(core.CodeNoPrimary, "group %s has no primary", s.group.Name).WithRetry(primaryPause)
-	}
-	return s.on(u, state.primary(), state.Term)
-}
-
 // on takes a connection to a member for a unit.
 func (s *session) on(u *unit, m *Member, term uint64) (*work, *core.Error) {
 	conn, e := m.links.get(u.deadline)
 	if e != nil {
 		return nil, e
 	}
-	s.begin(conn)
 	conn.SetDeadline(u.deadline)
+	s.begin(conn)
 	w := &work{session: s, unit: u, member: m, term: term, conn: conn, x: newExchange(conn, s.conn)}
 	w.x.restore(s.state)
 	return w, nil
@@ -77,7 +69,7 @@
 // at another primary.
 func (w *work) write() (bool, error) {
 	if w.unit.annotation.submission != "" && w.unit.executions > 0 {
-		return false, w.writeOnce()
+		return w.writeOnce()
 	}
 	sentAt := time.Now()
 	w.x.unit(w.unit)
@@ -93,14 +85,11 @@
 	if err != nil {
 		return false, w.lost()
 	}
-	if o.failure == stateReadOnly && o.tag == "" && !isPrimary(status, w.term) && time.Now().Before(w.unit.deadline) {
-		w.x.retract()
-		w.release(true)
-		w.session.group.await(w.unit.deadline, func(g *GroupState) bool { return g.Term > w.term })
+	if o.failure == stateReadOnly && o.tag == "" && w.isReplaced(status) {
 		return true, nil
 	}
 	if o.status != 'I' {
-		w.session.held = &hold{conn: w.conn, links: w.member.links}
+		w.session.held = &hold{conn: w.conn, links: w.member.links, term: w.term}
 		w.session.finish()
 		return false, w.session.ready(o.status)
 	}
@@ -111,7 +100,22 @@
 	if o.tag == "" && o.failure != "" || w.unit.executions == 0 {
 		return false, w.session.ready('I')
 	}
-	return false, w.session.confirm(w.unit, status, w.x)
+	return false, w.session.confirm(w.unit, w.term, status, w.x)
+}
+
+// isReplaced reports whether a write that was refused as read-only met an
+// endpoint that is no longer the primary; the connection is then given back and
+// the write, of which nothing ran, may be tried at the next primary.
+func (w *work) isReplaced(status core.Status) bool {
+	if isPrimary(status, w.term) || time.Now().After(w.unit.deadline) {
+		return false
+	}
+	w.x.retract()
+	w.release(true)
+	w.session.group.await(time.Now().Add(replacedPause), func(g *GroupState) bool {
+		return g.Term > w.term || !g.Availability.IsOpen()
+	})
+	return true
 }
 
 // remember keeps a setting that the endpoint took for the rest of the session.
@@ -132,68 +136,6 @@
 	return s.Role == core.RolePrimary && s.Term == term && s.Fence == term
 }
 
-// writeOnce runs the unit in one transaction with its submission key.
-func (w *work) writeOnce() error {
-	w.x.query(beginStatement)
-	w.x.query("INSERT INTO anviltack_submission (key) VALUES (" + quote(w.unit.annotation.submission) + ") ON CONFLICT DO NOTHING")
-	if err := w.conn.Flush(); err != nil {
-		return w.lost()
-	}
-	if _, err := w.x.skip(); err != nil {
-		return w.lost()
-	}
-	o, err := w.x.skip()
-	if err != nil {
-		return w.lost()
-	}
-	sentAt := time.Now()
-	found := o.tag == keyExistsTag
-	if found || o.failure != "" {
-		w.x.query(rollbackStatement)
-	} else {
-		w.x.unit(w.unit)
-		w.x.query(commitStatement)
-	}
-	w.x.query(endpoint.StatusStatement)
-	if err := w.conn.Flush(); err != nil {
-		return w.lost()
-	}
-	return w.finishOnce(found, o.failure, sentAt)
-}
-
-// finishOnce reads the answers of the transaction and answers the caller.
-func (w *work) finishOnce(found bool, failure string, sentAt time.Time) error {
-	var o outcome
-	var err error
-	if !found && failure == "" {
-		if o, err = w.x.answer(); err != nil {
-			return w.lost()
-		}
-	}
-	end, err := w.x.skip()
-	if err != nil {
-		return w.lost()
-	}
-	status, err := w.status(sentAt)
-	if err != nil {
-		return w.lost()
-	}
-	w.release(true)
-	switch {
-	case found:
-		w.session.conn.SendError(caller.SeverityError, core.NewError(core.CodeAlreadyRan, "a submission with this key ran already"))
-		return w.session.confirm(w.unit, status, w.x)
-	case failure != "":
-		return w.session.refuse(core.NewError(core.CodeNoPrimary, "the submission key could not be stored (SQLSTATE %s)", failure).WithRetry(primaryPause))
-	case end.tag == commitStatement:
-		return w.session.confirm(w.unit, status, w.x)
-	case o.failure != "":
-		return w.session.ready('I')
-	}
-	w.x.retract()
-	return w.session.refuse(core.NewError(core.CodeNoPrimary, "the transaction was rolled back").WithRetry(primaryPause))
-}
-
 // status reads the answer to the status statement behind the unit and hands it
 // to the control goroutine as a sample.
 func (w *work) status(sentAt time.Time) (core.Status, error) {
@@ -224,6 +166,9 @@
 // lost answers a unit whose connection failed after it was sent.
 func (w *work) lost() error {
 	w.x.retract()
+	if err := w.conn.Err(); err != nil {
+		w.member.links.evidence(err)
+	}
 	w.release(false)
 	return w.session.unknown()
 }
@@ -234,70 +179,3 @@
 	s.conn.SendError(caller.SeverityError, core.NewError(core.CodeOutcomeUnknown, "the outcome is unknown"))
 	return s.ready('I')
 }
-
-// confirm passes the answer on once a majority holds the position in the
-// primary's term, at a time after the unit arrived.
-func (s *session) confirm(u *unit, status core.Status, x *exchange) error {
-	point := status.Durable()
-	state, _ := s.group.await(u.deadline, func(g *GroupState) bool {
-		return g.Term > point.Term || isConfirmed(g, point, u.arrived)
-	})
-	if !isConfirmed(state, point, u.arrived) {
-		x.retract()
-		return s.unknown()
-	}
-	s.raise(point)
-	return s.ready('I')
-}
-
-func isConfirmed(g *GroupState, p core.Point, since time.Time) bool {
-	return g.Term == p.Term && g.Confirmed.Covers(p) && !g.AsOf.Before(since)
-}
-
-// serveHeld runs a unit on the connection of the open transaction.
-func (s *session) serveHeld(u *unit) error {
-	if u.fault != nil {
-		return u.fault
-	}
-	h := s.held
-	s.begin(h.conn)
-	h.conn.SetDeadline(u.deadline)
-	x := newExchange(h.conn, s.conn)
-	x.unit(u)
-	x.query(endpoint.StatusStatement)
-	if err := h.conn.Flush(); err != nil {
-		return s.lostHeld(x)
-	}
-	o, err := x.answer()
-	if err != nil {
-		return s.lostHeld(x)
-	}
-	status, err := h.conn.ReceiveStatus()
-	if err != nil && h.conn.Err() != nil {
-		return s.lostHeld(x)
-	}
-	reusable := s.finish()
-	if o.status != 'I' {
-		return s.ready(o.status)
-	}
-	s.held = nil
-	h.links.put(h.conn, reusable)
-	if o.tag == rollbackTag || o.tag == "" {
-		return s.ready('I')
-	}
-	return s.confirm(u, status, x)
-}
-
-// lostHeld ends the session: its transaction's connection failed, and the
-// statement in flight may have been a commit.
-func (s *session) lostHeld(x *exchange) error {
-	x.retract()
-	s.finish()
-	s.instance.counts.unknown.Inc(1)
-	return core.NewError(core.CodeOutcomeUnknown, "the connection of the transaction failed, its outcome is unknown")
-}
-
-// quote returns a text as an SQL literal.
-func quote(s string) string {
-	return "'" + strings.ReplaceAll(s, "'", "''") + "'"
-}
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -23,6 +23,8 @@
 type Conn struct {
 	// Endpoint is the name of the member at the other end.
 	Endpoint core.Endpoint
+	// Address is where the other end listens.
+	Address netip.AddrPort
 	// Named holds the prepared statements that the other end knows.
 	Named map[string]struct{}
 	// Unnamed is the text of the unnamed prepared statement at the other end.
@@ -61,6 +63,7 @@
 	}
 	c := &Conn{
 		Endpoint: name,
+		Address:  address,
 		Named:    make(map[string]struct{}),
 		conn:     nc,
 		frontend: pgproto3.NewFrontend(nc, nc),
@@ -90,6 +93,12 @@
 	_ = c.conn.SetDeadline(time.Unix(1, 0))
 }
 
+// Abort makes Flush and Receive fail from now on until the next SetDeadline. It
+// may be called from another goroutine.
+func (c *Conn) Abort() {
+	_ = c.conn.SetDeadline(time.Unix(1, 0))
+}
+
 // Send appends one message to those that the next Flush sends.
 func (c *Conn) Send(m pgproto3.FrontendMessage) {
 	out, err := m.Encode(c.out)
