Recognize answers that belong elsewhere, and send keyed submissions again

Two faults: a status request whose answer had another shape was passed over as if the statement had failed, so the next statement read the answer of the one before; and its position counted as zero, which any majority confirms, so a write could have been acknowledged unheld (a cancel that hits the status request would do). Ruled out: the stand-in's delivery (the bytes are whole answers) and the load. Change: a status that is not a status fails the connection, but for a unit that failed inside a transaction; messages of the extended protocol must fit the step that they answer; a connection on which something waits is not used; the end of a read's transaction must be a rollback. A submission with a key is idempotent and is sent again after a lost answer while there is time, at most five times.

--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -45,6 +45,8 @@
 	held int
 	// streamed tells that part of the answer was passed on for good.
 	streamed bool
+	// extended tells that the unit in hand went by the extended protocol.
+	extended bool
 	// quiet passes nothing on.
 	quiet bool
 	// prefaces is how many simple queries went ahead of the unit.
@@ -84,6 +86,7 @@
 		x.query(u.sql)
 		return
 	}
+	x.extended = true
 	x.steps(u)
 	x.in.Send(&pgproto3.Sync{})
 }
@@ -98,6 +101,7 @@
 // transaction. All of it goes by the extended protocol up to one Sync: where the
 // start fails nothing else runs, and a text of several statements is refused.
 func (x *exchange) readOnly(u *unit) {
+	x.extended = true
 	x.parse(beginReadOnly, false)
 	x.in.Send(&pgproto3.Bind{PreparedStatement: beginReadOnly.name})
 	x.in.Send(&pgproto3.Execute{})
@@ -182,8 +186,13 @@
 			return o, err
 		}
 		if ready, ok := m.(*pgproto3.ReadyForQuery); ok {
+			missing := len(x.replies) > 0 && o.failure == ""
 			x.replies = x.replies[:0]
+			x.extended = false
 			o.status = ready.TxStatus
+			if missing {
+				return o, endpoint.ErrShape
+			}
 			return o, nil
 		}
 		if err := x.take(m, &o); err != nil {
@@ -222,6 +231,9 @@
 }
 
 func (x *exchange) take(m pgproto3.BackendMessage, o *outcome) error {
+	if !x.isExpected(m) {
+		return endpoint.ErrShape
+	}
 	switch m := m.(type) {
 	case *pgproto3.ErrorResponse:
 		o.failure = m.Code
@@ -239,9 +251,7 @@
 	case *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
 		x.hold()
 		x.next(m)
-	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete, *pgproto3.NoData:
-		x.next(m)
-	case *pgproto3.RowDescription:
+	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete, *pgproto3.NoData, *pgproto3.RowDescription:
 		x.next(m)
 	case *pgproto3.ParameterDescription:
 		x.pass(m)
@@ -257,6 +267,33 @@
 	return nil
 }
 
+// isExpected reports whether a message can answer the step at the head. One that
+// cannot belongs to another statement.
+func (x *exchange) isExpected(m pgproto3.BackendMessage) bool {
+	if !x.extended {
+		return true
+	}
+	var kind stepKind
+	if len(x.replies) > 0 {
+		kind = x.replies[0].kind
+	}
+	switch m.(type) {
+	case *pgproto3.ParseComplete:
+		return kind == stepParse
+	case *pgproto3.BindComplete:
+		return kind == stepBind
+	case *pgproto3.CloseComplete:
+		return kind == stepClose
+	case *pgproto3.ParameterDescription:
+		return kind == stepDescribeStatement
+	case *pgproto3.NoData, *pgproto3.RowDescription:
+		return kind == stepDescribeStatement || kind == stepDescribePortal
+	case *pgproto3.DataRow, *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
+		return kind == stepExecute
+	}
+	return true
+}
+
 // isHidden reports whether the next answer is kept from the caller.
 func (x *exchange) isHidden() bool {
 	return len(x.replies) > 0 && !x.replies[0].forward
--- a/instance/held.go
+++ b/instance/held.go
@@ -36,11 +36,11 @@
 		return s.lostHeld(x)
 	}
 	status, err := h.conn.ReceiveStatus()
-	if err != nil && h.conn.Err() != nil {
+	if err != nil && !isAborted(o, err) {
 		return s.lostHeld(x)
 	}
 	reusable := s.finish()
-	if o.failure == stateReadOnly && !isPrimary(status, h.term) {
+	if o.failure == stateReadOnly && s.group.State().Term > h.term {
 		x.retract()
 		return transactionLost()
 	}
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -14,19 +14,25 @@
 	readWaits      metrics.Counter
 	samples        metrics.Counter
 	failovers      metrics.Counter
+	// submissionRetries counts keyed submissions sent again after a lost answer.
+	submissionRetries metrics.Counter
+	// linksSpoiled counts connections dropped because something waited on them.
+	linksSpoiled metrics.Counter
 }
 
 func newCounts(r metrics.Registry) counts {
 	return counts{
-		sessions:       metrics.NewRegisteredCounter("sessions", r),
-		statements:     metrics.NewRegisteredCounter("statements", r),
-		refusals:       metrics.NewRegisteredCounter("refusals", r),
-		unknown:        metrics.NewRegisteredCounter("unknown", r),
-		readsOnReplica: metrics.NewRegisteredCounter("reads_on_replica", r),
-		readsOnPrimary: metrics.NewRegisteredCounter("reads_on_primary", r),
-		readRetries:    metrics.NewRegisteredCounter("read_retries", r),
-		readWaits:      metrics.NewRegisteredCounter("read_waits", r),
-		failovers:      metrics.NewRegisteredCounter("failovers", r),
-		samples:        metrics.NewRegisteredCounter("samples", r),
+		sessions:          metrics.NewRegisteredCounter("sessions", r),
+		statements:        metrics.NewRegisteredCounter("statements", r),
+		refusals:          metrics.NewRegisteredCounter("refusals", r),
+		unknown:           metrics.NewRegisteredCounter("unknown", r),
+		readsOnReplica:    metrics.NewRegisteredCounter("reads_on_replica", r),
+		readsOnPrimary:    metrics.NewRegisteredCounter("reads_on_primary", r),
+		readRetries:       metrics.NewRegisteredCounter("read_retries", r),
+		readWaits:         metrics.NewRegisteredCounter("read_waits", r),
+		submissionRetries: metrics.NewRegisteredCounter("submission_retries", r),
+		linksSpoiled:      metrics.NewRegisteredCounter("links_spoiled", r),
+		failovers:         metrics.NewRegisteredCounter("failovers", r),
+		samples:           metrics.NewRegisteredCounter("samples", r),
 	}
 }
--- a/instance/read.go
+++ b/instance/read.go
@@ -174,10 +174,13 @@
 		return o, core.Status{}, err
 	}
 	status, err := w.status(sentAt)
-	if err != nil {
+	if err != nil && !isAborted(o, err) {
 		return o, status, err
 	}
-	_, err = w.x.skip()
+	end, err := w.x.skip()
+	if err == nil && end.tag != rollbackTag {
+		err = endpoint.ErrShape
+	}
 	return o, status, err
 }
 
--- a/instance/submission.go
+++ b/instance/submission.go
@@ -17,14 +17,14 @@
 	w.x.query(beginStatement)
 	w.x.query("INSERT INTO anviltack_submission (key) VALUES (" + quote(w.unit.annotation.submission) + ") ON CONFLICT DO NOTHING")
 	if err := w.conn.Flush(); err != nil {
-		return false, w.lost()
+		return w.lostOnce()
 	}
 	if _, err := w.x.skip(); err != nil {
-		return false, w.lost()
+		return w.lostOnce()
 	}
 	o, err := w.x.skip()
 	if err != nil {
-		return false, w.lost()
+		return w.lostOnce()
 	}
 	sentAt := time.Now()
 	found := o.tag == keyExistsTag
@@ -36,7 +36,7 @@
 	}
 	w.x.query(endpoint.StatusStatement)
 	if err := w.conn.Flush(); err != nil {
-		return false, w.lost()
+		return w.lostOnce()
 	}
 	return w.finishOnce(found, o.failure, sentAt)
 }
@@ -47,16 +47,16 @@
 	var err error
 	if !found && failure == "" {
 		if o, err = w.x.answer(); err != nil {
-			return false, w.lost()
+			return w.lostOnce()
 		}
 	}
 	end, err := w.x.skip()
 	if err != nil {
-		return false, w.lost()
+		return w.lostOnce()
 	}
 	status, err := w.status(sentAt)
 	if err != nil {
-		return false, w.lost()
+		return w.lostOnce()
 	}
 	isRolledBack := !found && end.tag != commitStatement
 	if isRolledBack && (failure == stateReadOnly || end.failure == stateReadOnly) && w.isReplaced(status) {
@@ -78,6 +78,22 @@
 	return false, w.session.refuse(core.NewError(core.CodeNoPrimary, "the transaction was rolled back").WithRetry(primaryPause))
 }
 
+// lostOnce answers a submission whose connection failed. Its key makes it
+// idempotent, so it is sent again while there is time: if it ran, the key is
+// found.
+func (w *work) lostOnce() (bool, error) {
+	if w.last || !time.Now().Before(w.unit.deadline) {
+		return false, w.lost()
+	}
+	w.x.retract()
+	if err := w.conn.Err(); err != nil {
+		w.member.links.evidence(err)
+	}
+	w.release(false)
+	w.session.instance.counts.submissionRetries.Inc(1)
+	return true, nil
+}
+
 // quote returns a text as an SQL literal.
 func quote(s string) string {
 	return "'" + strings.ReplaceAll(s, "'", "''") + "'"
--- a/instance/write.go
+++ b/instance/write.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"errors"
 	"time"
 
 	"anviltack/core"
@@ -22,6 +23,9 @@
 // primaryPause is the advice to a caller that found no primary.
 const primaryPause = time.Second
 
+// maxWriteTries bounds how often one unit is sent to a primary.
+const maxWriteTries = 5
+
 // replacedPause bounds the wait for the news of a replaced primary before a
 // write is tried again.
 const replacedPause = 50 * time.Millisecond
@@ -35,16 +39,19 @@
 	term uint64
 	conn *endpoint.Conn
 	x    *exchange
+	// last tells that the unit is not tried again after this.
+	last bool
 }
 
 // serveWrite runs a unit on the primary and answers once a majority holds its
 // position and confirms that the primary was not replaced.
 func (s *session) serveWrite(u *unit) error {
-	for {
+	for tries := 1; ; tries++ {
 		w, e := s.onPrimary(u)
 		if e != nil {
 			return s.refuse(e)
 		}
+		w.last = tries >= maxWriteTries
 		again, err := w.write()
 		if err != nil || !again {
 			return err
@@ -52,9 +59,15 @@
 	}
 }
 
-// on takes a connection to a member for a unit.
+// on takes a connection to a member for a unit. One on which something waits to
+// be read is not used: it ended, or carries an answer to something else.
 func (s *session) on(u *unit, m *Member, term uint64) (*work, *core.Error) {
 	conn, e := m.links.get(u.deadline)
+	for e == nil && !conn.IsQuiet() {
+		s.instance.counts.linksSpoiled.Inc(1)
+		m.links.put(conn, false)
+		conn, e = m.links.get(u.deadline)
+	}
 	if e != nil {
 		return nil, e
 	}
@@ -82,7 +95,7 @@
 		return false, w.lost()
 	}
 	status, err := w.status(sentAt)
-	if err != nil {
+	if err != nil && !isAborted(o, err) {
 		return false, w.lost()
 	}
 	if o.failure == stateReadOnly && o.tag == "" && w.isReplaced(status) {
@@ -107,7 +120,7 @@
 // endpoint that is no longer the primary; the connection is then given back and
 // the write, of which nothing ran, may be tried at the next primary.
 func (w *work) isReplaced(status core.Status) bool {
-	if isPrimary(status, w.term) || time.Now().After(w.unit.deadline) {
+	if w.last || isPrimary(status, w.term) || time.Now().After(w.unit.deadline) {
 		return false
 	}
 	w.x.retract()
@@ -141,9 +154,6 @@
 func (w *work) status(sentAt time.Time) (core.Status, error) {
 	status, err := w.conn.ReceiveStatus()
 	if err != nil {
-		if w.conn.Err() == nil {
-			return core.Status{}, nil
-		}
 		return core.Status{}, err
 	}
 	control := w.session.instance.control
@@ -157,6 +167,14 @@
 	return status, nil
 }
 
+// isAborted reports whether a status request was refused because the unit before
+// it failed inside a transaction. Any other failure means that the answers do
+// not belong to what was sent.
+func isAborted(o outcome, err error) bool {
+	var refused *endpoint.ServerError
+	return o.status == 'E' && errors.As(err, &refused)
+}
+
 // release gives the connection back.
 func (w *work) release(clean bool) {
 	reusable := w.session.finish()
