Show a token between instances, and list an instance again that was lost

A configuration pushed by anybody who reaches a peer address would have passed the operators' token by; instances now show a token that is derived from it. An instance that the platform's list no longer shows puts itself on it again, at most every 10 s and never while it stops. A patch is refused after 5 failed reads in place of at the end of its 8 s, as long as nothing was sent.

--- a/core/patch/submitter.go
+++ b/core/patch/submitter.go
@@ -9,6 +9,10 @@
 	"anviltack/core"
 )
 
+// maxFailedReads is how many reads in a row may fail before a patch that was not
+// sent yet is refused.
+const maxFailedReads = 5
+
 // Stored is the value of the platform's key at one moment.
 type Stored struct {
 	// Index is the platform's number of the last change; zero when the key is
@@ -51,6 +55,7 @@
 // It refuses to build on a document below the version in force.
 func (s Submitter) Submit(ctx context.Context, r Request, now time.Time, inForce uint64) (Document, uint64, error) {
 	doubtful := false
+	failed := 0
 	var last error
 	for attempt := 0; ; attempt++ {
 		if attempt > 0 {
@@ -61,8 +66,12 @@
 		stored, d, err := s.read(ctx, inForce)
 		if err != nil {
 			last = err
+			if failed++; failed >= maxFailedReads && !doubtful {
+				return Document{}, 0, s.giveUp(r, doubtful, err)
+			}
 			continue
 		}
+		failed = 0
 		next, err := d.Apply(r, now)
 		if err != nil && doubtful && d.Settle(r.ID, r.Base).Outcome == OutcomeUnknown {
 			return Document{}, 0, s.giveUp(r, doubtful, err)
--- a/instance/beater.go
+++ b/instance/beater.go
@@ -10,7 +10,9 @@
 	"anviltack/core"
 	"anviltack/core/member"
 	"anviltack/core/patch"
+	"anviltack/io/bearer"
 	"anviltack/io/peer"
+	"anviltack/settings"
 )
 
 const (
@@ -116,6 +118,10 @@
 	c.post(ctx, func(now time.Time) { c.fleet.offer(now, *u.Document, patch.SourcePeer) })
 }
 
+// peerToken is what instances show each other; all of a deployment have the same
+// operators' token.
+func peerToken(s settings.Settings) string { return bearer.Derive(s.Token, "peer") }
+
 // peerHandlers answer other instances.
 func (in *Instance) peerHandlers() peer.Handlers {
 	return peer.Handlers{
--- a/instance/drain.go
+++ b/instance/drain.go
@@ -78,6 +78,8 @@
 	if in.list.Deregister == nil {
 		return
 	}
+	in.listed.Lock()
+	defer in.listed.Unlock()
 	if err := in.list.Register(ctx, in.listing(true)); err == nil {
 		_ = in.list.Deregister(ctx, in.settings.Instance)
 	}
--- a/instance/dump.go
+++ b/instance/dump.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/member"
+	"anviltack/core/patch"
 )
 
 // maxDumpGroups bounds the groups in one dump.
@@ -17,9 +19,19 @@
 	Instance   core.Instance   `json:"instance"`
 	DataCentre core.DataCentre `json:"data_centre"`
 	// Version is the version of the configuration in force.
-	Version  uint64      `json:"version"`
-	Sessions int         `json:"sessions"`
-	Groups   []GroupDump `json:"groups"`
+	Version uint64 `json:"version"`
+	// Source tells where that configuration came from.
+	Source patch.Source `json:"source"`
+	// Missing is a higher version that was heard of, or zero.
+	Missing uint64 `json:"missing"`
+	// Rank is the instance's rank for watching the platform.
+	Rank     int  `json:"rank"`
+	Draining bool `json:"draining"`
+	// LeavingEndpoints are those that the platform's list calls leaving.
+	LeavingEndpoints []core.Endpoint `json:"leaving_endpoints"`
+	Instances        []member.Member `json:"instances"`
+	Sessions         int             `json:"sessions"`
+	Groups           []GroupDump     `json:"groups"`
 	// Omitted is how many groups were left out.
 	Omitted int `json:"omitted,omitempty"`
 }
@@ -66,6 +78,10 @@
 		Version:    view.Version,
 		Sessions:   in.sessions.count(),
 	}
+	if f := in.fleet.Load(); f != nil {
+		d.Source, d.Missing, d.Rank = f.source, f.missing, f.rank
+		d.Draining, d.LeavingEndpoints, d.Instances = f.self.State == member.StateLeaving, f.leaving, f.members
+	}
 	now := time.Now()
 	for _, g := range view.Groups {
 		if len(d.Groups) >= maxDumpGroups {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,9 +37,11 @@
 	peers    *peer.Client
 	fleet    atomic.Pointer[fleetView]
 	drainer  drainer
-	started  time.Time
-	spreads  chan spread
-	pulls    chan netip.AddrPort
+	// listed is held while this instance's entry on the platform's list changes.
+	listed  sync.Mutex
+	started time.Time
+	spreads chan spread
+	pulls   chan netip.AddrPort
 }
 
 // Watch returns the configuration that follows a version, once there is one.
@@ -70,7 +73,7 @@
 		log:      logrus.New(),
 		metrics:  metrics.NewRegistry(),
 		sessions: newSessions(),
-		peers:    peer.NewClient(),
+		peers:    peer.NewClient(peerToken(s)),
 		started:  time.Now(),
 		spreads:  make(chan spread, spreadQueue),
 		pulls:    make(chan netip.AddrPort, pullQueue),
@@ -125,7 +128,7 @@
 	root.Add(&beater{instance: in})
 	root.Add(&puller{instance: in})
 	root.Add(&spreader{instance: in})
-	root.Add(&httpServer{name: "peers", address: in.settings.Peers, handler: peer.NewHandler(in.peerHandlers())})
+	root.Add(&httpServer{name: "peers", address: in.settings.Peers, handler: peer.NewHandler(peerToken(in.settings), in.peerHandlers())})
 	root.Add(&httpServer{name: "operators", address: in.settings.Operators, handler: in.operatorServer().Handler()})
 }
 
--- a/instance/watcher.go
+++ b/instance/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"anviltack/core"
@@ -16,6 +17,9 @@
 	// listPeriod is the longest time after which an instance that does not watch
 	// reads the list of instances again; it begins with shorter ones.
 	listPeriod = time.Minute
+	// registerPeriod is how long the list may lag before an instance that it
+	// does not show is put on it again.
+	registerPeriod = 10 * time.Second
 )
 
 // watcher follows a configuration that does not come from the platform.
@@ -106,17 +110,13 @@
 // lister keeps this instance on the platform's list and follows the list.
 type lister struct {
 	instance *Instance
+	// registered is when the instance was put on the list last.
+	registered time.Time
 }
 
 // Serve follows the list until the context ends.
 func (l *lister) Serve(ctx context.Context) error {
 	in := l.instance
-	for ctx.Err() == nil {
-		if err := in.list.Register(ctx, in.listing(false)); err == nil {
-			break
-		}
-		sleep(ctx, watchPause)
-	}
 	var index uint64
 	period := fleetPeriod
 	for ctx.Err() == nil {
@@ -128,6 +128,11 @@
 			continue
 		}
 		in.control.post(ctx, func(now time.Time) { in.control.fleet.listed(now, list) })
+		if !slices.Contains(list, in.listing(false)) && time.Since(l.registered) > registerPeriod {
+			l.register(ctx)
+			index = 0
+			continue
+		}
 		if index = l.rest(ctx, next, period); index == 0 {
 			period = min(2*period, listPeriod)
 		}
@@ -135,6 +140,23 @@
 	return ctx.Err()
 }
 
+// register puts this instance on the list, where it is missing at start and
+// after the platform lost it. A stopping instance stays off it.
+func (l *lister) register(ctx context.Context) {
+	in := l.instance
+	in.listed.Lock()
+	defer in.listed.Unlock()
+	if in.isDraining() {
+		return
+	}
+	if err := in.list.Register(ctx, in.listing(false)); err != nil {
+		in.event(core.EventConfigSource).WithError(err).Warn("not on the platform's list")
+		sleep(ctx, watchPause)
+		return
+	}
+	l.registered = time.Now()
+}
+
 // rest waits while this instance is no watcher, up to about a period, which
 // differs at random between instances. It returns the index after which to
 // watch, or zero to read the list at once.
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -14,6 +14,7 @@
 
 	"anviltack/core"
 	"anviltack/core/patch"
+	"anviltack/io/bearer"
 )
 
 // settlePause is the time between two attempts to submit a patch whose answer
@@ -107,7 +108,7 @@
 	if err != nil {
 		return fmt.Errorf("operator: bad request: %w", err)
 	}
-	r.Header.Set("Authorization", "Bearer "+c.Token)
+	bearer.Show(r, c.Token)
 	response, err := c.HTTP.Do(r)
 	if err != nil {
 		return fmt.Errorf("operator: %w", err)
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -2,18 +2,16 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/rcrowley/go-metrics"
 
 	"anviltack/core"
 	"anviltack/core/patch"
+	"anviltack/io/bearer"
 )
 
 // maxRequestBytes bounds the body of an operator's request.
@@ -62,11 +60,8 @@
 }
 
 func (s Server) authorize(next http.Handler) http.Handler {
-	want := sha256.Sum256([]byte(s.Token))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		got := sha256.Sum256([]byte(token))
-		if !ok || s.Token == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+		if !bearer.IsShown(r, s.Token) {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			show(w, http.StatusUnauthorized, Error{Code: core.CodeOperatorForbidden, Reason: "the bearer token is missing or wrong"})
 			return
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -11,6 +11,7 @@
 	"github.com/twitchtv/twirp"
 
 	"anviltack/core/member"
+	"anviltack/io/bearer"
 	"anviltack/io/peer/wire"
 )
 
@@ -32,12 +33,12 @@
 // WithTimeout bounds each call.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
-// NewClient returns a client for any number of peers.
-func NewClient(options ...Option) *Client {
+// NewClient returns a client for any number of peers that shows them the token.
+func NewClient(token string, options ...Option) *Client {
 	c := &Client{
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: &bearer.Transport{Token: token, Next: &http.Transport{
 			MaxIdleConnsPerHost: maxIdleSockets, IdleConnTimeout: time.Minute, DisableCompression: true,
-		}},
+		}}},
 		timeout: defaultTimeout,
 	}
 	for _, o := range options {
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -14,6 +14,8 @@
 	"anviltack/core/patch"
 )
 
+const testToken = "token"
+
 func TestCalls(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
@@ -25,7 +27,7 @@
 	var heard member.Beat
 	var pushed Update
 	var told Promotion
-	s := httptest.NewServer(NewHandler(Handlers{
+	s := httptest.NewServer(NewHandler(testToken, Handlers{
 		Beat: func(_ context.Context, b member.Beat) member.Beat { heard = b; return self },
 		Pull: func(_ context.Context, version uint64) Update {
 			return Update{Version: version + 1, Document: &patch.Document{Version: version + 1}}
@@ -38,7 +40,7 @@
 	}))
 	defer s.Close()
 	to := netip.MustParseAddrPort(s.Listener.Addr().String())
-	c := NewClient()
+	c := NewClient(testToken)
 
 	b, err := c.Beat(ctx, to, caller)
 	is.NoErr(err)
@@ -69,11 +71,25 @@
 
 func TestNotOffered(t *testing.T) {
 	is := is.New(t)
-	s := httptest.NewServer(NewHandler(Handlers{}))
+	s := httptest.NewServer(NewHandler(testToken, Handlers{}))
 	defer s.Close()
 	to := netip.MustParseAddrPort(s.Listener.Addr().String())
-	_, err := NewClient().Beat(context.Background(), to, member.Beat{Instance: "a", DataCentre: "x"})
+	_, err := NewClient(testToken).Beat(context.Background(), to, member.Beat{Instance: "a", DataCentre: "x"})
 	is.True(err != nil)
-	_, err = NewClient().Pull(context.Background(), to, 1)
+	_, err = NewClient(testToken).Pull(context.Background(), to, 1)
 	is.True(err != nil)
 }
+
+// TestToken checks that nobody without the token can hand a configuration over.
+func TestToken(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(NewHandler(testToken, Handlers{
+		Push: func(context.Context, Update) (uint64, error) { t.Error("pushed without a token"); return 0, nil },
+	}))
+	defer s.Close()
+	to := netip.MustParseAddrPort(s.Listener.Addr().String())
+	for _, token := range []string{"", "other"} {
+		_, err := NewClient(token).Push(context.Background(), to, Update{Version: 1 << 60})
+		is.True(err != nil)
+	}
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -8,6 +8,7 @@
 
 	"anviltack/core"
 	"anviltack/core/member"
+	"anviltack/io/bearer"
 	"anviltack/io/peer/wire"
 )
 
@@ -23,9 +24,17 @@
 	Promoted func(ctx context.Context, p Promotion)
 }
 
-// NewHandler returns the HTTP handler of the peer protocol.
-func NewHandler(h Handlers) http.Handler {
-	return http.MaxBytesHandler(wire.NewPeerServer(&server{h: h}), maxRequestBytes)
+// NewHandler returns the HTTP handler of the peer protocol for those who show
+// the token.
+func NewHandler(token string, h Handlers) http.Handler {
+	next := http.MaxBytesHandler(wire.NewPeerServer(&server{h: h}), maxRequestBytes)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !bearer.IsShown(r, token) {
+			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "the bearer token is missing or wrong"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // server implements the generated service.
--- a/settings/table.go
+++ b/settings/table.go
@@ -45,7 +45,7 @@
 	addresses("seeds", false, "Peer addresses to ask for the configuration while the platform is down.", func(s *Settings) *[]netip.AddrPort { return &s.Seeds }),
 	{
 		Name: "token", Allowed: fmt.Sprintf("a text of at least %d bytes", minTokenBytes), required: true,
-		Help: "Bearer token of the operators.",
+		Help: "Bearer token of the operators, the same on all instances; what instances show each other is derived from it.",
 		set: func(s *Settings, values []string) error {
 			if len(values[0]) < minTokenBytes {
 				return errors.New("too short")
