--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -51,8 +51,11 @@
 	prefaces int
 }
 
+// usualReplies is how many answers the unit of most callers gets.
+const usualReplies = 8
+
 func newExchange(in *endpoint.Conn, out *caller.Conn) *exchange {
-	return &exchange{in: in, out: out, base: out.Len(), held: -1}
+	return &exchange{in: in, out: out, base: out.Len(), held: -1, replies: make([]reply, 0, usualReplies)}
 }
 
 // query appends a simple query.
@@ -99,8 +102,8 @@
 // start fails nothing else runs, and a text of several statements is refused.
 func (x *exchange) readOnly(u *unit) {
 	x.parse(beginReadOnly, false)
-	x.in.Send(&pgproto3.Bind{PreparedStatement: beginReadOnly.name})
-	x.in.Send(&pgproto3.Execute{})
+	x.in.SendEncoded(bindBeginMessage)
+	x.in.SendEncoded(executeMessage)
 	x.replies = append(x.replies, reply{kind: stepBind}, reply{kind: stepExecute})
 	if u.simple {
 		x.single(u.sql)
@@ -113,9 +116,9 @@
 // single appends the text of a simple query by the extended protocol.
 func (x *exchange) single(sql string) {
 	x.in.Send(&pgproto3.Parse{Query: sql})
-	x.in.Send(&pgproto3.Bind{})
-	x.in.Send(&pgproto3.Describe{ObjectType: 'P'})
-	x.in.Send(&pgproto3.Execute{})
+	x.in.SendEncoded(bindMessage)
+	x.in.SendEncoded(describePortalMessage)
+	x.in.SendEncoded(executeMessage)
 	x.in.Unnamed = sql
 	x.replies = append(x.replies,
 		reply{kind: stepParse}, reply{kind: stepBind},
--- a/instance/read.go
+++ b/instance/read.go
@@ -7,7 +7,6 @@
 	"anviltack/core"
 	"anviltack/core/patch"
 	"anviltack/core/route"
-	"anviltack/io/endpoint"
 )
 
 // maxReadTries bounds the endpoints that one read is tried on.
@@ -163,8 +162,8 @@
 // transaction is rolled back, so that a setting does not outlive it.
 func (w *work) read(sentAt time.Time) (outcome, core.Status, error) {
 	w.x.readOnly(w.unit)
-	w.x.query(endpoint.StatusStatement)
-	w.x.query(rollbackStatement)
+	w.conn.SendEncoded(statusMessage)
+	w.conn.SendEncoded(rollbackMessage)
 	if err := w.conn.Flush(); err != nil {
 		return outcome{}, core.Status{}, err
 	}
--- a/instance/state.go
+++ b/instance/state.go
@@ -27,11 +27,7 @@
 
 func newBegin() *prepared {
 	p := &prepared{name: "anviltack_begin", sql: beginReadOnlyStatement}
-	encoded, err := (&pgproto3.Parse{Name: p.name, Query: p.sql}).Encode(nil)
-	if err != nil {
-		panic(err)
-	}
-	p.encoded = encoded
+	p.encoded = encodeFixed(&pgproto3.Parse{Name: p.name, Query: p.sql})
 	return p
 }
 
