--- a/instance/read.go
+++ b/instance/read.go
@@ -8,6 +8,7 @@
 	"anviltack/core/group"
 	"anviltack/core/patch"
 	"anviltack/core/route"
+	"anviltack/io/endpoint"
 )
 
 // maxReadTries bounds the endpoints that one read is tried on.
