Show that each safety test fails without its mechanism, and measure the gap

One frozen trial printed 4 ms, a write that began before the fault was in force; the start is taken after the fault now.

freeAddress in process took ports of the range of outgoing connections, and two of 30 trials met one in use; it takes them from below that range.

--- a/core/group/attempt.go
+++ b/core/group/attempt.go
@@ -38,9 +38,9 @@
 	Reason   Reason
 	Term     uint64
 	Endpoint core.Endpoint
-	// HeardAt is when the failed primary last answered; the times after it
-	// never go back and are zero until reached.
-	HeardAt     time.Time
+	// BeganAt is when the failed primary last answered, or when it stopped
+	// being confirmed; the times after it are zero until reached.
+	BeganAt     time.Time
 	SuspectedAt time.Time
 	DecidedAt   time.Time
 	FencedAt    time.Time
@@ -79,8 +79,9 @@
 func (m *Machine) ask(now time.Time, s suspicion) []Action {
 	m.attempt = &attempt{suspicion: s, phase: phaseAsking, startedAt: now}
 	m.attempt.report = Failover{Reason: s.reason, SuspectedAt: m.suspectedAt}
-	if e := m.member(m.primary); e != nil {
-		m.attempt.report.HeardAt = e.answeredAt
+	m.attempt.report.BeganAt = s.since
+	if e := m.member(m.primary); e != nil && s.reason != ReasonStalled {
+		m.attempt.report.BeganAt = e.answeredAt
 	}
 	if m.instances <= 1 {
 		return m.startFencing(now)
--- a/core/group/machine_test.go
+++ b/core/group/machine_test.go
@@ -18,7 +18,7 @@
 
 // load submits a write or a read at a random instance every few milliseconds.
 func (w *world) load() {
-	w.submit(w.instances[w.random.IntN(len(w.instances))], w.random.IntN(2) == 0)
+	w.submit(w.instances[w.random.IntN(len(w.instances))], w.random.IntN(2) == 0 || w.readsOnly)
 	w.after(time.Duration(2+w.random.IntN(30))*time.Millisecond, w.load)
 }
 
@@ -102,6 +102,10 @@
 			q.SetRank(0, len(w.instances))
 		}
 		w.noPeers = true
+	case "reads-only":
+		w.readsOnly = true
+	case "no-peers":
+		w.noPeers = true
 	case "pause-before-promoting":
 		p.stops = true
 	case "state":
@@ -117,9 +121,9 @@
 	for _, p := range w.instances {
 		term, primary := p.Primary()
 		w.note("instance %d: term %d primary %s closed %v", p.number, term, primary, p.Confirmed().Closed)
-		if l := p.Last(); l.Term > 0 && l.Term == term {
+		if l := p.Last(); l.Term == term && !l.ResumedAt.IsZero() {
 			w.note("instance %d: %s, detect %v, ask %v, fence %v, promote %v, resume %v", p.number, l.Reason,
-				parts(l.SuspectedAt, l.HeardAt), parts(l.DecidedAt, l.SuspectedAt), parts(l.FencedAt, l.DecidedAt),
+				parts(l.SuspectedAt, l.BeganAt), parts(l.DecidedAt, l.SuspectedAt), parts(l.FencedAt, l.DecidedAt),
 				parts(l.PromotedAt, l.FencedAt), parts(l.ResumedAt, l.PromotedAt))
 		}
 	}
@@ -172,6 +176,23 @@
 	is.Equal(actions[0], Action{Kind: ActionPromote, Endpoint: "c", Term: 4})
 }
 
+// TestConfirmsOwnTerm keeps an entry of an earlier term unconfirmed until an
+// entry of the present one is held with it.
+func TestConfirmsOwnTerm(t *testing.T) {
+	is := is.New(t)
+	m := New("g", "i")
+	m.Configure(epoch, []Member{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+	a := core.Status{Role: core.RolePrimary, Fence: 2, Term: 2, Received: 5, Last: core.Point{Term: 2, Position: 5}}
+	b := core.Status{Role: core.RoleReplica, Fence: 2, Term: 2, Received: 4, Last: core.Point{Term: 1, Position: 4}}
+	m.Sampled(epoch, "a", epoch, a)
+	m.Sampled(epoch, "b", epoch, b)
+	is.Equal(m.Confirmed(), Confirmation{Term: 2})
+	b.Received, b.Last = 5, a.Last
+	later := epoch.Add(time.Millisecond)
+	m.Sampled(later, "b", later, b)
+	is.Equal(m.Confirmed(), Confirmation{Term: 2, Position: 5, AsOf: epoch})
+}
+
 // TestVerdict judges statements that reached position 7 of term 2.
 func TestVerdict(t *testing.T) {
 	is := is.New(t)
@@ -181,6 +202,7 @@
 	is.Equal(confirmed.Verdict(later, 2, point), VerdictConfirmed)
 	is.Equal(confirmed.Verdict(later.Add(1), 2, point), VerdictPending)
 	is.Equal(confirmed.Verdict(later, 1, point), VerdictUnknown)
+	is.Equal(confirmed.Verdict(later, 2, core.Point{}), VerdictUnknown)
 	is.Equal(Confirmation{Term: 2, Position: 6, AsOf: later}.Verdict(later, 2, point), VerdictPending)
 	is.Equal(Confirmation{Term: 3, Position: 9, AsOf: later}.Verdict(later, 2, point), VerdictUnknown)
 	is.Equal(Confirmation{Term: 2, Position: 7, AsOf: later, Closed: true}.Verdict(later, 2, point), VerdictUnknown)
--- a/core/group/world_test.go
+++ b/core/group/world_test.go
@@ -111,6 +111,7 @@
 	unknown    int
 	written    int
 	noPeers    bool
+	readsOnly  bool
 	out        strings.Builder
 	faults     []string
 }
--- a/instance/failover.go
+++ b/instance/failover.go
@@ -178,7 +178,7 @@
 	in.counts.failovers.Inc(1)
 	e := in.event(core.EventFailover).WithField("group", g.group.Name).WithField("endpoint", l.Endpoint).
 		WithField("term", l.Term).WithField("reason", l.Reason)
-	steps := []time.Time{l.HeardAt, l.SuspectedAt, l.DecidedAt, l.FencedAt, l.PromotedAt, l.ResumedAt}
+	steps := []time.Time{l.BeganAt, l.SuspectedAt, l.DecidedAt, l.FencedAt, l.PromotedAt, l.ResumedAt}
 	for i, name := range []string{"detect", "ask", "fence", "promote", "resume"} {
 		e = e.WithField(name, steps[i+1].Sub(steps[i]).Round(time.Millisecond/10).String())
 	}
--- a/process/site_test.go
+++ b/process/site_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -296,12 +297,23 @@
 	return stats.Calls
 }
 
+// Ports of the tests' servers; systems take those of outgoing connections from a
+// range above.
+const (
+	firstPort = 18000
+	lastPort  = 32000
+)
+
+// freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		if l, err := net.Listen("tcp", address.String()); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer l.Close() //nolint:errcheck // The address is free from here on.
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	t.Fatal("no free address")
+	return netip.AddrPort{}
 }
