Number status requests, so that crossed answers are recognized

Shapes alone cannot tell a whole answer of the same shape.

Every status request now carries a number of its own in its select list, which comes back in the row. Answers on a connection come in the order of its requests, so the right number behind a unit proves that the answers before it are its own; any other answer ends the connection, the read goes elsewhere and a write's outcome is unknown. The status of a read moved behind its ROLLBACK, where it is answered also when the read failed; its position is later, so the session's mark still covers what was read. A submission's key is looked up with a status behind it, since a crossed answer there could have run a submission twice.

Ruled out: a statement that echoes by a setting (application_name), which costs one more statement in each flush; PostgreSQL gives the same by a literal in the select list.

Without the comparison of the number TestReadIsNotAnsweredWithoutProof fails.

--- a/instance/encoded.go
+++ b/instance/encoded.go
@@ -1,10 +1,6 @@
 package instance
 
-import (
-	"github.com/jackc/pgx/v5/pgproto3"
-
-	"anviltack/io/endpoint"
-)
+import "github.com/jackc/pgx/v5/pgproto3"
 
 // Messages that every read of a kind sends, encoded once.
 var (
@@ -12,7 +8,6 @@
 	bindMessage           = encodeFixed(&pgproto3.Bind{})
 	describePortalMessage = encodeFixed(&pgproto3.Describe{ObjectType: 'P'})
 	executeMessage        = encodeFixed(&pgproto3.Execute{})
-	statusMessage         = encodeFixed(&pgproto3.Query{String: endpoint.StatusStatement})
 	rollbackMessage       = encodeFixed(&pgproto3.Query{String: rollbackStatement})
 )
 
--- a/instance/read.go
+++ b/instance/read.go
@@ -162,8 +162,8 @@
 // transaction is rolled back, so that a setting does not outlive it.
 func (w *work) read(sentAt time.Time) (outcome, core.Status, error) {
 	w.x.readOnly(w.unit)
-	w.conn.SendEncoded(statusMessage)
 	w.conn.SendEncoded(rollbackMessage)
+	w.conn.SendStatus()
 	if err := w.conn.Flush(); err != nil {
 		return outcome{}, core.Status{}, err
 	}
@@ -171,11 +171,10 @@
 	if err != nil {
 		return o, core.Status{}, err
 	}
-	status, err := w.status(sentAt)
-	if err != nil {
-		return o, status, err
+	if _, err := w.x.skip(); err != nil {
+		return o, core.Status{}, err
 	}
-	_, err = w.x.skip()
+	status, err := w.status(sentAt)
 	return o, status, err
 }
 
--- a/instance/read_test.go
+++ b/instance/read_test.go
@@ -1,12 +1,12 @@
 package instance
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 	"net"
 	"net/netip"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -37,53 +37,75 @@
 	return b
 }
 
-// serveFixed answers every read of one connection with the same bytes: one
-// answer for each flush that ends with a simple query of ROLLBACK. The status
-// behind the read shows after.
-func serveFixed(t testing.TB, nc net.Conn, after core.Point) {
+// fixedAnswers are what an endpoint says to each read.
+type fixedAnswers struct {
+	// after is what the status behind the read shows.
+	after core.Point
+	// shift is added to the number that the status request carries.
+	shift uint64
+}
+
+// read is the answer to the transaction of a read.
+func (f fixedAnswers) read(t testing.TB) []byte {
 	ready := &pgproto3.ReadyForQuery{TxStatus: 'T'}
-	term, position := []byte(strconv.FormatUint(after.Term, 10)), []byte(strconv.FormatUint(after.Position, 10))
-	status := &pgproto3.DataRow{Values: [][]byte{[]byte("replica"), term, term, position, position, term, position}}
-	answer := encode(t,
+	return encode(t,
 		&pgproto3.BindComplete{}, &pgproto3.CommandComplete{CommandTag: []byte("BEGIN")},
 		&pgproto3.ParseComplete{}, &pgproto3.BindComplete{},
 		&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("value"), DataTypeOID: 25}}},
 		&pgproto3.DataRow{Values: [][]byte{[]byte("1")}}, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, ready,
-		&pgproto3.RowDescription{}, status, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, ready,
 		&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")}, &pgproto3.ReadyForQuery{TxStatus: 'I'})
-	first := append(encode(t, &pgproto3.ParseComplete{}), answer...)
+}
+
+// status is the answer to a status request, with room for its number.
+func (f fixedAnswers) status(t testing.TB) (answer []byte, number int) {
+	term, position := []byte(strconv.FormatUint(f.after.Term, 10)), []byte(strconv.FormatUint(f.after.Position, 10))
+	room := bytes.Repeat([]byte("#"), numberDigits)
+	row := &pgproto3.DataRow{Values: [][]byte{[]byte("replica"), term, term, position, position, term, position, room}}
+	answer = encode(t, &pgproto3.RowDescription{}, row, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+	return answer, bytes.Index(answer, room)
+}
+
+// numberDigits is the length of a status request's number; numbers that are
+// shorter by chance are not met.
+const numberDigits = 19
+
+// serve answers the reads of one connection.
+func (f fixedAnswers) serve(t testing.TB, nc net.Conn) {
+	read := f.read(t)
+	status, number := f.status(t)
 	start := make([]byte, 4)
 	if _, err := io.ReadFull(nc, start); err != nil {
 		return
 	}
 	_, _ = io.CopyN(io.Discard, nc, int64(binary.BigEndian.Uint32(start))-4)
 	_, _ = nc.Write(encode(t, &pgproto3.AuthenticationOk{}, &pgproto3.ReadyForQuery{TxStatus: 'I'}))
-	header := make([]byte, 5)
-	body := make([]byte, 4096)
-	for queries := 0; ; {
+	_, _ = nc.Write(encode(t, &pgproto3.ParseComplete{}))
+	header, body := make([]byte, 5), make([]byte, 4096)
+	for {
 		if _, err := io.ReadFull(nc, header); err != nil {
 			return
 		}
-		if _, err := io.ReadFull(nc, body[:binary.BigEndian.Uint32(header[1:])-4]); err != nil {
+		n := binary.BigEndian.Uint32(header[1:]) - 4
+		if _, err := io.ReadFull(nc, body[:n]); err != nil {
 			return
 		}
 		if header[0] != 'Q' {
 			continue
 		}
-		queries++
-		if queries%2 == 0 && !strings.HasPrefix(string(body), rollbackStatement) {
-			t.Errorf("the transaction of a read ended by %.10q", body)
-		}
-		if queries%2 == 0 {
-			_, _ = nc.Write(first)
-			first = answer
+		if bytes.HasPrefix(body[:n], []byte(rollbackStatement)) {
+			_, _ = nc.Write(read)
+			continue
 		}
+		const before = "SELECT *, "
+		copy(status[number:], body[len(before):len(before)+numberDigits])
+		status[number] += byte(f.shift)
+		_, _ = nc.Write(status)
 	}
 }
 
 // newReader returns a session before a group whose one replica gives fixed
 // answers, and a read. The replica was sampled at (1, 50).
-func newReader(t testing.TB, after core.Point) (*session, *unit) {
+func newReader(t testing.TB, f fixedAnswers) (*session, *unit) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -96,7 +118,7 @@
 			if err != nil {
 				return
 			}
-			go serveFixed(t, nc, after)
+			go f.serve(t, nc)
 		}
 	}()
 	now := time.Now()
@@ -124,13 +146,16 @@
 	return s, u
 }
 
+// sound are the answers of an endpoint without a fault.
+var sound = fixedAnswers{after: core.Point{Term: 1, Position: 50}}
+
 // maxReadAllocations bounds the allocations of one read on a replica, those of
 // the goroutines for control and for samples not counted.
 const maxReadAllocations = 16
 
 func TestReadAllocations(t *testing.T) {
 	is := is.New(t)
-	s, u := newReader(t, core.Point{Term: 1, Position: 50})
+	s, u := newReader(t, sound)
 	is.NoErr(s.serveRead(u))
 	n := testing.AllocsPerRun(1000, func() {
 		if err := s.serveRead(u); err != nil {
@@ -143,7 +168,7 @@
 }
 
 func BenchmarkReadOnReplica(b *testing.B) {
-	s, u := newReader(b, core.Point{Term: 1, Position: 50})
+	s, u := newReader(b, sound)
 	b.ReportAllocs()
 	for b.Loop() {
 		if err := s.serveRead(u); err != nil {
@@ -154,7 +179,7 @@
 
 func TestReadGoesElsewhereWhenAnEndpointIsSilent(t *testing.T) {
 	is := is.New(t)
-	s, u := newReader(t, core.Point{Term: 1, Position: 50})
+	s, u := newReader(t, sound)
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer silent.Close() //nolint:errcheck // Nothing is served.
@@ -171,13 +196,19 @@
 	is.Equal(s.instance.counts.readsOnReplica.Count(), int64(20))
 }
 
-func TestReadIsNotAnsweredFromAnEndpointThatWentBack(t *testing.T) {
-	for _, after := range []core.Point{{Term: 1, Position: 49}, {Term: 2, Position: 50}} {
-		is := is.New(t)
-		s, u := newReader(t, after)
-		is.NoErr(s.serveRead(u))
-		is.Equal(s.instance.counts.readsOnReplica.Count(), int64(0))
-		is.Equal(s.instance.counts.refusals.Count(), int64(1))
+func TestReadIsNotAnsweredWithoutProof(t *testing.T) {
+	for name, f := range map[string]fixedAnswers{
+		"went back":       {after: core.Point{Term: 1, Position: 49}},
+		"changed term":    {after: core.Point{Term: 2, Position: 50}},
+		"crossed answers": {after: core.Point{Term: 1, Position: 50}, shift: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, u := newReader(t, f)
+			is.NoErr(s.serveRead(u))
+			is.Equal(s.instance.counts.readsOnReplica.Count(), int64(0))
+			is.Equal(s.instance.counts.refusals.Count(), int64(1))
+		})
 	}
 }
 
--- a/instance/write.go
+++ b/instance/write.go
@@ -81,7 +81,7 @@
 	}
 	sentAt := time.Now()
 	w.x.unit(w.unit)
-	w.x.query(endpoint.StatusStatement)
+	w.conn.SendStatus()
 	if err := w.conn.Flush(); err != nil {
 		return false, w.lost()
 	}
@@ -136,6 +136,7 @@
 func (w *work) writeOnce() error {
 	w.x.query(beginStatement)
 	w.x.query("INSERT INTO anviltack_submission (key) VALUES (" + quote(w.unit.annotation.submission) + ") ON CONFLICT DO NOTHING")
+	w.conn.SendStatus()
 	if err := w.conn.Flush(); err != nil {
 		return w.lost()
 	}
@@ -146,6 +147,9 @@
 	if err != nil {
 		return w.lost()
 	}
+	if _, err := w.conn.ReceiveStatus(); err != nil && w.conn.Err() != nil {
+		return w.lost()
+	}
 	sentAt := time.Now()
 	found := o.tag == keyExistsTag
 	if found || o.failure != "" {
@@ -154,7 +158,7 @@
 		w.x.unit(w.unit)
 		w.x.query(commitStatement)
 	}
-	w.x.query(endpoint.StatusStatement)
+	w.conn.SendStatus()
 	if err := w.conn.Flush(); err != nil {
 		return w.lost()
 	}
@@ -264,7 +268,7 @@
 	h.conn.SetDeadline(u.deadline)
 	x := newExchange(h.conn, s.conn)
 	x.unit(u)
-	x.query(endpoint.StatusStatement)
+	h.conn.SendStatus()
 	if err := h.conn.Flush(); err != nil {
 		return s.lostHeld(x)
 	}
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -36,6 +36,8 @@
 	out []byte
 	// key lets Cancel name this connection.
 	key pgproto3.BackendKeyData
+	// number is the number of the last status request; empty when it had none.
+	number string
 	// broken is the first failure of the connection, or nil.
 	broken error
 }
--- a/io/endpoint/status.go
+++ b/io/endpoint/status.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -13,7 +15,6 @@
 
 // The statements by which a group's terms are read and set.
 const (
-	StatusStatement  = "SELECT * FROM anviltack_status()"
 	fenceStatement   = "SELECT * FROM anviltack_fence(%d)"
 	promoteStatement = "SELECT * FROM anviltack_promote(%d)"
 )
@@ -21,12 +22,40 @@
 // statusColumns is the number of columns of a status row.
 const statusColumns = 7
 
-// ErrShape tells that an endpoint answered a status request in another form.
-var ErrShape = errors.New("endpoint: the answer is not a status")
+// The faults in an answer to a status request.
+var (
+	// ErrShape tells that the answer is not a status.
+	ErrShape = errors.New("endpoint: the answer is not a status")
+	// ErrCrossed tells that the answer belongs to another request, so that no
+	// answer on the connection can be trusted.
+	ErrCrossed = errors.New("endpoint: the answer belongs to another request")
+)
+
+// firstNumber keeps all numbers at one length.
+const firstNumber = 4e18
+
+// lastNumber is the number of the last status request of this process. It starts
+// at random, so that the numbers of two instances hardly meet.
+var lastNumber atomic.Uint64
+
+func init() { lastNumber.Store(firstNumber + rand.Uint64N(firstNumber)) }
+
+// SendStatus appends a status request with a number of its own, which comes back
+// with the answer. Answers on a connection come in the order of its requests, so
+// the right number proves that the answers before it belong to their requests.
+func (c *Conn) SendStatus() {
+	c.number = strconv.FormatUint(lastNumber.Add(1), 10)
+	c.Send(&pgproto3.Query{String: "SELECT *, " + c.number + " FROM anviltack_status()"})
+}
 
 // Status asks the endpoint for its status before the deadline.
 func (c *Conn) Status(deadline time.Time) (core.Status, error) {
-	return c.control(StatusStatement, deadline)
+	c.SetDeadline(deadline)
+	c.SendStatus()
+	if err := c.Flush(); err != nil {
+		return core.Status{}, err
+	}
+	return c.ReceiveStatus()
 }
 
 // Fence tells the endpoint a term, above which lower terms are refused.
@@ -41,6 +70,7 @@
 
 func (c *Conn) control(statement string, deadline time.Time) (core.Status, error) {
 	c.SetDeadline(deadline)
+	c.number = ""
 	c.Send(&pgproto3.Query{String: statement})
 	if err := c.Flush(); err != nil {
 		return core.Status{}, err
@@ -48,8 +78,8 @@
 	return c.ReceiveStatus()
 }
 
-// ReceiveStatus reads the whole answer to one status statement that was sent as
-// a simple query.
+// ReceiveStatus reads the whole answer to the last status request. An answer
+// that is none of its own ends the connection.
 func (c *Conn) ReceiveStatus() (core.Status, error) {
 	var s core.Status
 	var failure error
@@ -62,7 +92,7 @@
 		switch m := m.(type) {
 		case *pgproto3.DataRow:
 			rows++
-			if s, err = ParseStatus(m.Values); err != nil {
+			if s, err = c.parseStatus(m.Values); err != nil {
 				failure = err
 			}
 		case *pgproto3.ErrorResponse:
@@ -71,11 +101,36 @@
 			if failure == nil && rows != 1 {
 				failure = ErrShape
 			}
+			if failure != nil && !c.isRefusal(failure, m.TxStatus) {
+				return core.Status{}, c.fail(failure)
+			}
 			return s, failure
 		}
 	}
 }
 
+// isRefusal reports whether an error is a plain one: the transaction has failed
+// and takes no more statements, or the request was for a term. Any other error
+// tells that the answer is not that of the request.
+func (c *Conn) isRefusal(err error, transaction byte) bool {
+	var s *ServerError
+	return errors.As(err, &s) && (transaction == 'E' || c.number == "")
+}
+
+// parseStatus reads a status row and the number behind it.
+func (c *Conn) parseStatus(columns [][]byte) (core.Status, error) {
+	if c.number == "" {
+		return ParseStatus(columns)
+	}
+	if len(columns) != statusColumns+1 {
+		return core.Status{}, ErrShape
+	}
+	if string(columns[statusColumns]) != c.number {
+		return core.Status{}, ErrCrossed
+	}
+	return ParseStatus(columns[:statusColumns])
+}
+
 // ParseStatus reads the columns of a status row.
 func ParseStatus(columns [][]byte) (core.Status, error) {
 	if len(columns) != statusColumns {
--- a/standin/endpoint/execute.go
+++ b/standin/endpoint/execute.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return result{}, err
 	}
-	return result{tag: st.tag, rows: [][]string{{
+	row := []string{
 		string(status.Role),
 		decimal(status.Fence),
 		decimal(status.Term),
@@ -74,7 +74,11 @@
 		decimal(status.Applied),
 		decimal(status.Last.Term),
 		decimal(status.Last.Position),
-	}}}, nil
+	}
+	if st.verb == verbStatus {
+		row = append(row, values...)
+	}
+	return result{tag: st.tag, rows: [][]string{row}}, nil
 }
 
 func decimal(n uint64) string { return strconv.FormatUint(n, 10) }
--- a/standin/endpoint/statement.go
+++ b/standin/endpoint/statement.go
@@ -48,6 +48,7 @@
 	{"SELECT COUNT ( * ) FROM ITEM", verbCount, "SELECT 1"},
 	{"SELECT PG_SLEEP ( ? )", verbSleep, "SELECT 1"},
 	{"SELECT * FROM ANVILTACK_STATUS ( )", verbStatus, "SELECT 1"},
+	{"SELECT * , ? FROM ANVILTACK_STATUS ( )", verbStatus, "SELECT 1"},
 	{"SELECT * FROM ANVILTACK_FENCE ( ? )", verbFence, "SELECT 1"},
 	{"SELECT * FROM ANVILTACK_PROMOTE ( ? )", verbPromote, "SELECT 1"},
 	{"SELECT 1", verbOne, "SELECT 1"},
@@ -174,7 +175,7 @@
 	case verbSleep:
 		return []column{{"pg_sleep", pgtype.TextOID}}
 	case verbStatus, verbFence, verbPromote:
-		return []column{
+		columns := []column{
 			{"role", pgtype.TextOID},
 			{"fence", pgtype.TextOID},
 			{"term", pgtype.TextOID},
@@ -183,6 +184,10 @@
 			{"last_term", pgtype.TextOID},
 			{"last_position", pgtype.TextOID},
 		}
+		if s.verb == verbStatus && len(s.values) > 0 {
+			columns = append(columns, column{"?column?", pgtype.TextOID})
+		}
+		return columns
 	}
 	return nil
 }
