--- a/instance/instance.go
+++ b/instance/instance.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,17 +29,21 @@
 	metrics  metrics.Registry
 	counts   counts
 	view     atomic.Pointer[View]
-	control  *control
-	sessions *sessions
-	watch    Watch
-	platform platform.Platform
-	list     platform.List
-	peers    *peer.Client
-	fleet    atomic.Pointer[fleetView]
-	drainer  drainer
-	started  time.Time
-	spreads  chan spread
-	pulls    chan netip.AddrPort
+	// configured is closed once a configuration is in force.
+	configured chan struct{}
+	control    *control
+	sessions   *sessions
+	watch      Watch
+	platform   platform.Platform
+	list       platform.List
+	peers      *peer.Client
+	fleet      atomic.Pointer[fleetView]
+	drainer    drainer
+	// listed is held while this instance's entry on the platform's list changes.
+	listed  sync.Mutex
+	started time.Time
+	spreads chan spread
+	pulls   chan netip.AddrPort
 }
 
 // Watch returns the configuration that follows a version, once there is one.
@@ -66,14 +71,15 @@
 // New returns an instance that does not run yet.
 func New(s settings.Settings, options ...Option) *Instance {
 	in := &Instance{
-		settings: s,
-		log:      logrus.New(),
-		metrics:  metrics.NewRegistry(),
-		sessions: newSessions(),
-		peers:    peer.NewClient(),
-		started:  time.Now(),
-		spreads:  make(chan spread, spreadQueue),
-		pulls:    make(chan netip.AddrPort, pullQueue),
+		settings:   s,
+		log:        logrus.New(),
+		metrics:    metrics.NewRegistry(),
+		sessions:   newSessions(),
+		configured: make(chan struct{}),
+		peers:      peer.NewClient(peerToken(s)),
+		started:    time.Now(),
+		spreads:    make(chan spread, spreadQueue),
+		pulls:      make(chan netip.AddrPort, pullQueue),
 	}
 	in.drainer = drainer{instance: in, begin: make(chan struct{})}
 	in.counts = newCounts(in.metrics)
@@ -125,7 +131,7 @@
 	root.Add(&beater{instance: in})
 	root.Add(&puller{instance: in})
 	root.Add(&spreader{instance: in})
-	root.Add(&httpServer{name: "peers", address: in.settings.Peers, handler: peer.NewHandler(in.peerHandlers())})
+	root.Add(&httpServer{name: "peers", address: in.settings.Peers, handler: peer.NewHandler(peerToken(in.settings), in.peerHandlers())})
 	root.Add(&httpServer{name: "operators", address: in.settings.Operators, handler: in.operatorServer().Handler()})
 }
 
--- a/instance/listener.go
+++ b/instance/listener.go
@@ -13,8 +13,14 @@
 	instance *Instance
 }
 
-// Serve accepts callers until the context ends.
+// Serve accepts callers until the context ends. It begins once a configuration is
+// in force: before, every caller would count as unknown.
 func (l *listener) Serve(ctx context.Context) error {
+	select {
+	case <-l.instance.configured:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	var config net.ListenConfig
 	socket, err := config.Listen(ctx, "tcp", l.instance.settings.Callers.String())
 	if err != nil {
