--- a/instance/control.go
+++ b/instance/control.go
@@ -110,7 +110,9 @@
 			delete(c.groups, name)
 		}
 	}
-	c.instance.view.Store(view)
+	if c.instance.view.Swap(view).Version == 0 {
+		close(c.instance.configured)
+	}
 	c.instance.event(core.EventConfig).WithField("version", version).Info("configuration in force")
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -29,14 +29,16 @@
 	metrics  metrics.Registry
 	counts   counts
 	view     atomic.Pointer[View]
-	control  *control
-	sessions *sessions
-	watch    Watch
-	platform platform.Platform
-	list     platform.List
-	peers    *peer.Client
-	fleet    atomic.Pointer[fleetView]
-	drainer  drainer
+	// configured is closed once a configuration is in force.
+	configured chan struct{}
+	control    *control
+	sessions   *sessions
+	watch      Watch
+	platform   platform.Platform
+	list       platform.List
+	peers      *peer.Client
+	fleet      atomic.Pointer[fleetView]
+	drainer    drainer
 	// listed is held while this instance's entry on the platform's list changes.
 	listed  sync.Mutex
 	started time.Time
@@ -69,14 +71,15 @@
 // New returns an instance that does not run yet.
 func New(s settings.Settings, options ...Option) *Instance {
 	in := &Instance{
-		settings: s,
-		log:      logrus.New(),
-		metrics:  metrics.NewRegistry(),
-		sessions: newSessions(),
-		peers:    peer.NewClient(peerToken(s)),
-		started:  time.Now(),
-		spreads:  make(chan spread, spreadQueue),
-		pulls:    make(chan netip.AddrPort, pullQueue),
+		settings:   s,
+		log:        logrus.New(),
+		metrics:    metrics.NewRegistry(),
+		sessions:   newSessions(),
+		configured: make(chan struct{}),
+		peers:      peer.NewClient(peerToken(s)),
+		started:    time.Now(),
+		spreads:    make(chan spread, spreadQueue),
+		pulls:      make(chan netip.AddrPort, pullQueue),
 	}
 	in.drainer = drainer{instance: in, begin: make(chan struct{})}
 	in.counts = newCounts(in.metrics)
