Bound the parts of the history in its test, and keep scripts beside seeds

Taking the trimming of patch bodies out passed TestHistoryBound, because its patches were small; it now makes patches of a hundred values and checks bodies and entries against their own bounds. Taking out that heartbeats tell of leaving endpoints passed too, because every instance still had a watch of the list from its start; the test now ends those first.

Scripts move to testdata/scripts, since rapid keeps failing seeds in testdata.

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -21,7 +21,7 @@
 }
 
 func TestMembership(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		now := time.Unix(0, 0)
 		var table *Table
 		datadriven.RunTest(t, path, func(t *testing.T, c *datadriven.TestData) string {
--- a/core/patch/document_test.go
+++ b/core/patch/document_test.go
@@ -18,7 +18,7 @@
 const secretText = "SCRAM-SHA-256$4096:c2FsdA==$MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY=:MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY="
 
 func TestPatches(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		var d Document
 		versions := []Document{d}
 		datadriven.RunTest(t, path, func(t *testing.T, c *datadriven.TestData) string {
@@ -104,6 +104,16 @@
 	return p
 }
 
+// kindsPatch changes a hundred kinds of one database.
+func kindsPatch(i int) json.RawMessage {
+	kinds := make(map[string]any)
+	for k := range 100 {
+		kinds[fmt.Sprintf("kind-%d", k)] = map[string]string{"age": fmt.Sprintf("%ds", i+1)}
+	}
+	p, _ := json.Marshal(map[string]any{"databases": map[string]any{"db-g0": map[string]any{"kinds": kinds}}})
+	return p
+}
+
 func firstPatch(groups int) json.RawMessage {
 	c := Config{
 		Groups: map[coreGroup]Group{}, Databases: map[coreDatabase]Database{}, Callers: map[coreCaller]Caller{},
@@ -173,14 +183,14 @@
 			is := is.New(t)
 			d, err := Document{}.Apply(Request{ID: "first", Who: "w", Why: "y", Patch: firstPatch(groups)}, start)
 			is.NoErr(err)
-			versions := 200
+			versions := 150
 			if groups > 100 {
 				versions = 4
 			}
 			for i := range versions {
 				r := Request{
 					ID: fmt.Sprint(i), Base: d.Version, Who: strings.Repeat("w", maxWhoBytes),
-					Why: strings.Repeat("y", maxWhyBytes), Patch: endpointPatch(i%groups, 1, "slots", 4+i%2+i),
+					Why: strings.Repeat("y", maxWhyBytes), Patch: kindsPatch(i),
 				}
 				d, err = d.Apply(r, start)
 				is.NoErr(err)
@@ -188,6 +198,14 @@
 			b, err := d.Encode()
 			is.NoErr(err)
 			is.True(len(b) <= maxDocumentBytes)
+			bodies, entries := 0, 0
+			for _, e := range d.History {
+				bodies += len(e.Patch) + len(e.Undo)
+				e.Patch, e.Undo = nil, nil
+				entries += len(text(t, e))
+			}
+			is.True(bodies <= maxBodiesBytes)
+			is.True(entries <= maxEntriesBytes)
 			t.Logf("%d groups: document %d bytes, %d entries kept, %d trimmed", groups, len(b), len(d.History), d.Trimmed)
 			is.Equal(d.Trimmed+uint64(len(d.History)), d.Version)
 			is.Equal(d.Lowest, d.Trimmed+1)
--- a/process/leaving_test.go
+++ b/process/leaving_test.go
@@ -77,6 +77,7 @@
 	s.awaitMembers(4)
 	s.submit(s.instances["i0"], s.firstPatch())
 	s.awaitVersion()
+	s.list("e1", "live")
 	for _, p := range s.instances {
 		sessions = append(sessions, s.mustConnect(ctx, p))
 	}
