--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -45,14 +45,19 @@
 	held int
 	// streamed tells that part of the answer was passed on for good.
 	streamed bool
+	// extended tells that the unit in hand went by the extended protocol.
+	extended bool
 	// quiet passes nothing on.
 	quiet bool
 	// prefaces is how many simple queries went ahead of the unit.
 	prefaces int
 }
 
+// usualReplies is how many answers the unit of most callers gets.
+const usualReplies = 8
+
 func newExchange(in *endpoint.Conn, out *caller.Conn) *exchange {
-	return &exchange{in: in, out: out, base: out.Len(), held: -1}
+	return &exchange{in: in, out: out, base: out.Len(), held: -1, replies: make([]reply, 0, usualReplies)}
 }
 
 // query appends a simple query.
@@ -84,6 +89,7 @@
 		x.query(u.sql)
 		return
 	}
+	x.extended = true
 	x.steps(u)
 	x.in.Send(&pgproto3.Sync{})
 }
@@ -98,9 +104,10 @@
 // transaction. All of it goes by the extended protocol up to one Sync: where the
 // start fails nothing else runs, and a text of several statements is refused.
 func (x *exchange) readOnly(u *unit) {
+	x.extended = true
 	x.parse(beginReadOnly, false)
-	x.in.Send(&pgproto3.Bind{PreparedStatement: beginReadOnly.name})
-	x.in.Send(&pgproto3.Execute{})
+	x.in.SendEncoded(bindBeginMessage)
+	x.in.SendEncoded(executeMessage)
 	x.replies = append(x.replies, reply{kind: stepBind}, reply{kind: stepExecute})
 	if u.simple {
 		x.single(u.sql)
@@ -113,9 +120,9 @@
 // single appends the text of a simple query by the extended protocol.
 func (x *exchange) single(sql string) {
 	x.in.Send(&pgproto3.Parse{Query: sql})
-	x.in.Send(&pgproto3.Bind{})
-	x.in.Send(&pgproto3.Describe{ObjectType: 'P'})
-	x.in.Send(&pgproto3.Execute{})
+	x.in.SendEncoded(bindMessage)
+	x.in.SendEncoded(describePortalMessage)
+	x.in.SendEncoded(executeMessage)
 	x.in.Unnamed = sql
 	x.replies = append(x.replies,
 		reply{kind: stepParse}, reply{kind: stepBind},
@@ -182,8 +189,13 @@
 			return o, err
 		}
 		if ready, ok := m.(*pgproto3.ReadyForQuery); ok {
+			missing := len(x.replies) > 0 && o.failure == ""
 			x.replies = x.replies[:0]
+			x.extended = false
 			o.status = ready.TxStatus
+			if missing {
+				return o, endpoint.ErrShape
+			}
 			return o, nil
 		}
 		if err := x.take(m, &o); err != nil {
@@ -222,6 +234,9 @@
 }
 
 func (x *exchange) take(m pgproto3.BackendMessage, o *outcome) error {
+	if !x.isExpected(m) {
+		return endpoint.ErrShape
+	}
 	switch m := m.(type) {
 	case *pgproto3.ErrorResponse:
 		o.failure = m.Code
@@ -239,9 +254,7 @@
 	case *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
 		x.hold()
 		x.next(m)
-	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete, *pgproto3.NoData:
-		x.next(m)
-	case *pgproto3.RowDescription:
+	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete, *pgproto3.NoData, *pgproto3.RowDescription:
 		x.next(m)
 	case *pgproto3.ParameterDescription:
 		x.pass(m)
@@ -257,6 +270,33 @@
 	return nil
 }
 
+// isExpected reports whether a message can answer the step at the head. One that
+// cannot belongs to another statement.
+func (x *exchange) isExpected(m pgproto3.BackendMessage) bool {
+	if !x.extended {
+		return true
+	}
+	var kind stepKind
+	if len(x.replies) > 0 {
+		kind = x.replies[0].kind
+	}
+	switch m.(type) {
+	case *pgproto3.ParseComplete:
+		return kind == stepParse
+	case *pgproto3.BindComplete:
+		return kind == stepBind
+	case *pgproto3.CloseComplete:
+		return kind == stepClose
+	case *pgproto3.ParameterDescription:
+		return kind == stepDescribeStatement
+	case *pgproto3.NoData, *pgproto3.RowDescription:
+		return kind == stepDescribeStatement || kind == stepDescribePortal
+	case *pgproto3.DataRow, *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
+		return kind == stepExecute
+	}
+	return true
+}
+
 // isHidden reports whether the next answer is kept from the caller.
 func (x *exchange) isHidden() bool {
 	return len(x.replies) > 0 && !x.replies[0].forward
--- a/instance/read.go
+++ b/instance/read.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/group"
 	"anviltack/core/patch"
 	"anviltack/core/route"
-	"anviltack/io/endpoint"
 )
 
 // maxReadTries bounds the endpoints that one read is tried on.
@@ -163,8 +163,8 @@
 // transaction is rolled back, so that a setting does not outlive it.
 func (w *work) read(sentAt time.Time) (outcome, core.Status, error) {
 	w.x.readOnly(w.unit)
-	w.x.query(endpoint.StatusStatement)
-	w.x.query(rollbackStatement)
+	w.conn.SendEncoded(statusMessage)
+	w.conn.SendEncoded(rollbackMessage)
 	if err := w.conn.Flush(); err != nil {
 		return outcome{}, core.Status{}, err
 	}
@@ -173,10 +173,13 @@
 		return o, core.Status{}, err
 	}
 	status, err := w.status(sentAt)
-	if err != nil {
+	if err != nil && !isAborted(o, err) {
 		return o, status, err
 	}
-	_, err = w.x.skip()
+	end, err := w.x.skip()
+	if err == nil && end.tag != rollbackTag {
+		err = endpoint.ErrShape
+	}
 	return o, status, err
 }
 
@@ -203,9 +206,9 @@
 func (w *work) finishOnPrimary(status core.Status) (bool, error) {
 	s, p := w.session, status.Durable()
 	state, _ := s.group.await(w.unit.deadline, func(g *GroupState) bool {
-		return g.Term > p.Term || isConfirmed(g, p, w.unit.arrived)
+		return g.Confirmation.Verdict(w.unit.arrived, w.term, p) != group.VerdictPending
 	})
-	if !isConfirmed(state, p, w.unit.arrived) || !p.Covers(s.reads.request.Need.Point) {
+	if state.Confirmation.Verdict(w.unit.arrived, w.term, p) != group.VerdictConfirmed || !p.Covers(s.reads.request.Need.Point) {
 		return w.giveUp()
 	}
 	s.instance.counts.readsOnPrimary.Inc(1)
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -39,14 +39,17 @@
 	ReadsPrimary int     `json:"reads_primary"`
 	ReadsReplica int     `json:"reads_replica"`
 	ReplicaShare float64 `json:"replica_share"`
-	// Gaps holds the longest time without an acknowledged write by database.
+	// Gaps holds the longest time without an acknowledged write by database; it
+	// is the failover gap of a group whose primary failed.
 	Gaps   map[core.Database]patch.Duration `json:"gaps"`
 	Reads  Quantiles                        `json:"read_latency"`
 	Commit Quantiles                        `json:"write_latency"`
 	// Refusals counts errors by their numbered code, or SQLSTATE without one.
 	Refusals map[string]int `json:"refusals"`
-	Lost     int            `json:"lost"`
-	Doubled  int            `json:"doubled"`
+	// First holds the first error text of each code.
+	First   map[string]string `json:"first"`
+	Lost    int               `json:"lost"`
+	Doubled int               `json:"doubled"`
 	// Stale counts reads older than their kind's age or than their session saw.
 	Stale            int `json:"stale"`
 	StaleAge         int `json:"stale_age"`
@@ -75,6 +78,7 @@
 		Reads:            quantiles(t.latencies[kindRead]),
 		Commit:           quantiles(t.latencies[kindWrite]),
 		Refusals:         t.refusals,
+		First:            t.first,
 		Lost:             t.failures[brokenLost],
 		Doubled:          t.failures[brokenDoubled],
 		Stale:            t.failures[brokenAge] + t.failures[brokenSession],
@@ -123,12 +127,12 @@
 	fmt.Fprintf(w, "reads on replicas   %.1f%% (%d on replicas, %d on primaries)\n", 100*r.ReplicaShare, r.ReadsReplica, r.ReadsPrimary)
 	fmt.Fprintf(w, "writes              %d acknowledged, %d refused, %d unknown\n", r.Writes.Acknowledged, r.Writes.Refused, r.Writes.Unknown)
 	for _, d := range slices.Sorted(maps.Keys(r.Gaps)) {
-		fmt.Fprintf(w, "write gap           %s: %s\n", d, time.Duration(r.Gaps[d]))
+		fmt.Fprintf(w, "failover gap        %s: %s without an acknowledged write\n", d, time.Duration(r.Gaps[d]))
 	}
 	r.Reads.print(w, "read latency")
 	r.Commit.print(w, "write latency")
 	for _, code := range slices.Sorted(maps.Keys(r.Refusals)) {
-		fmt.Fprintf(w, "refused             %s: %d\n", code, r.Refusals[code])
+		fmt.Fprintf(w, "refused             %s: %d, first: %s\n", code, r.Refusals[code], r.First[code])
 	}
 	fmt.Fprintf(w, "lost                %d\n", r.Lost)
 	fmt.Fprintf(w, "doubled             %d\n", r.Doubled)
