Measure what idle instances cost for each group

Cause: docs/CAPACITY.md needs the slope of sampling. standin slopes starts sites of several sizes and reads processor time, memory and bytes of the instances.

--- a/standin/cmd/main.go
+++ b/standin/cmd/main.go
@@ -18,6 +18,7 @@
 	Endpoint endpointCmd `cmd:"" help:"Stand in for a member of a database group."`
 	Load     loadCmd     `cmd:"" help:"Run callers against entry instances and judge their answers."`
 	Demo     demoCmd     `cmd:"" help:"Run a whole site as processes, strike with a fault and report."`
+	Slopes   slopesCmd   `cmd:"" help:"Measure what idle entry instances cost at several sizes."`
 }
 
 func main() {
--- a/standin/demo/bench.go
+++ b/standin/demo/bench.go
@@ -52,6 +52,9 @@
 	programs  Programs
 	directory string
 	client    *http.Client
+	// sample is the time between two samples as the settings write it; empty for
+	// the default.
+	sample string
 
 	platform        *process
 	platformAPI     netip.AddrPort
--- a/standin/demo/config.go
+++ b/standin/demo/config.go
@@ -36,6 +36,7 @@
 		Seeds      []string `json:"seeds"`
 		Token      string   `json:"token"`
 		User       string   `json:"user"`
+		Sample     string   `json:"sample,omitempty"`
 	}{
 		Instance:   e.name,
 		DataCentre: string(e.dataCentre),
@@ -43,8 +44,10 @@
 		Operators:  e.operators.String(),
 		Peers:      e.peers.String(),
 		Platform:   []string{b.platformAPI.String()},
+		Seeds:      []string{},
 		Token:      operatorToken,
 		User:       "anviltack-" + string(e.dataCentre),
+		Sample:     b.sample,
 	}
 	for _, other := range b.entries {
 		if other != e {
