--- a/cli/cli.go
+++ b/cli/cli.go
@@ -40,6 +40,7 @@
 	Config  configCmd  `cmd:"" help:"Show the configuration and its history."`
 	Patch   patchCmd   `cmd:"" help:"Submit a patch of the configuration."`
 	Settle  settleCmd  `cmd:"" help:"Tell what became of a patch."`
+	Secret  secretCmd  `cmd:"" help:"Make a caller's secret from a password on standard input."`
 	Dump    dumpCmd    `cmd:"" help:"Show the state of an instance."`
 	Status  statusCmd  `cmd:"" help:"Show groups, endpoints and instances."`
 	Version versionCmd `cmd:"" help:"Print the version."`
