--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -9,11 +9,13 @@
 	"anviltack/core"
 )
 
+// DefaultQueue bounds the queue of a gate when nothing else is stated.
+const DefaultQueue = 256
+
 const (
-	defaultQueue = 256
-	sweepPeriod  = 5 * time.Millisecond
-	minRetry     = 20 * time.Millisecond
-	maxRetry     = 5 * time.Second
+	sweepPeriod = 5 * time.Millisecond
+	minRetry    = 20 * time.Millisecond
+	maxRetry    = 5 * time.Second
 )
 
 // Request is one statement that asks to run.
@@ -85,7 +87,7 @@
 		slots:   slots,
 		connect: func(time.Time, Request) bool { return true },
 		random:  random,
-		limit:   defaultQueue,
+		limit:   DefaultQueue,
 		running: map[uint64]work{},
 	}
 	for _, o := range options {
@@ -116,7 +118,7 @@
 		g.start(now, s, r.ID)
 		return []Action{{ID: r.ID}}
 	}
-	at := s.position(r.Deadline)
+	at := s.position(r)
 	wait := g.wait(now, s, at)
 	if now.Add(wait + s.need(now, r)).After(r.Deadline) {
 		return []Action{g.refuse(s, r, g.codeFor(s), "the queue is too long for the deadline", wait)}
@@ -201,13 +203,13 @@
 	var out []Action
 	onlyHeld := false
 	for g.queued > 0 && len(g.running) < g.slots(now) {
-		s, i := g.pick(now, onlyHeld)
+		s := g.pick(now, onlyHeld)
 		if s == nil {
 			break
 		}
-		q := s.queue[i]
+		q := s.queue[0]
 		if now.Add(s.need(q.arrived, q.Request)).After(q.Deadline) {
-			g.drop(s, i)
+			g.drop(s, 0)
 			out = append(out, g.refuse(s, q.Request, g.codeFor(s), "its turn came too late for the deadline", 0))
 			continue
 		}
@@ -215,7 +217,7 @@
 			onlyHeld = true
 			continue
 		}
-		g.drop(s, i)
+		g.drop(s, 0)
 		g.drain.start(s.service.expected())
 		g.start(now, s, q.ID)
 		out = append(out, Action{ID: q.ID})
--- a/core/admit/share.go
+++ b/core/admit/share.go
@@ -25,7 +25,7 @@
 	// after a pause so that idle time cannot be saved up.
 	tag     float64
 	running int
-	// queue is sorted by deadline.
+	// queue holds the held requests before the others, each part by deadline.
 	queue   []queued
 	service estimate
 	seen    time.Time
@@ -60,21 +60,28 @@
 	})
 }
 
-// pick returns the share whose turn it is and the place of its next request,
-// nil when none may start; onlyHeld leaves out requests without a connection.
-func (g *Gate) pick(now time.Time, onlyHeld bool) (*share, int) {
+// pick returns the share whose turn it is, nil when none may start. Requests of
+// open transactions go first, because they hold connections and rows; onlyHeld
+// leaves out the others.
+func (g *Gate) pick(now time.Time, onlyHeld bool) *share {
 	var best *share
-	place := 0
 	for _, s := range g.shares {
-		i := slices.IndexFunc(s.queue, func(q queued) bool { return q.Held || !onlyHeld })
-		if i < 0 || g.isHeldBack(now, s) {
+		if len(s.queue) == 0 || onlyHeld && !s.queue[0].Held || !s.queue[0].Held && g.isHeldBack(now, s) {
 			continue
 		}
-		if best == nil || s.tag < best.tag || s.tag == best.tag && s.queue[i].Deadline.Before(best.queue[place].Deadline) {
-			best, place = s, i
+		if best == nil || s.precedes(best) {
+			best = s
 		}
 	}
-	return best, place
+	return best
+}
+
+func (s *share) precedes(o *share) bool {
+	a, b := s.queue[0], o.queue[0]
+	if a.Held != b.Held {
+		return a.Held
+	}
+	return s.tag < o.tag || s.tag == o.tag && a.Deadline.Before(b.Deadline)
 }
 
 // isHeldBack reports whether the last slot is kept from a caller with long
@@ -128,10 +135,11 @@
 	return g.refuse(longest, r, core.CodeFairShare, "the queue is full and others wait with less in it", wait), true
 }
 
-// position returns where a request with the deadline goes in the queue.
-func (s *share) position(deadline time.Time) int {
-	i, _ := slices.BinarySearchFunc(s.queue, deadline, func(q queued, d time.Time) int {
-		if q.Deadline.After(d) {
+// position returns where a request goes in the queue: by deadline, but behind
+// all held ones when it is not held and before all others when it is.
+func (s *share) position(r Request) int {
+	i, _ := slices.BinarySearchFunc(s.queue, r, func(q queued, r Request) int {
+		if q.Held == r.Held && q.Deadline.After(r.Deadline) || r.Held && !q.Held {
 			return 1
 		}
 		return -1
--- a/core/admit/sharing.go
+++ b/core/admit/sharing.go
@@ -30,6 +30,7 @@
 	queue    int
 	connect  func(now time.Time, r Request) bool
 	lending  []LenderOption
+	members  []core.Instance
 	// owners are the other instances that own a slot of the endpoint.
 	owners []core.Instance
 }
@@ -55,7 +56,7 @@
 
 // NewSharing returns the sharing of an endpoint with the given number of slots.
 func NewSharing(e core.Endpoint, self core.Instance, slots int, random *rand.Rand, options ...SharingOption) *Sharing {
-	s := &Sharing{endpoint: e, self: self, slots: slots, queue: defaultQueue}
+	s := &Sharing{endpoint: e, self: self, slots: slots, queue: DefaultQueue}
 	s.connect = func(time.Time, Request) bool { return true }
 	for _, o := range options {
 		o(s)
@@ -72,6 +73,9 @@
 // Waiting returns how many statements wait.
 func (s *Sharing) Waiting() int { return s.gate.Waiting() }
 
+// ServiceTime returns the time within which most statements end.
+func (s *Sharing) ServiceTime() time.Duration { return s.gate.service.safe() }
+
 // Own returns how many own slots are usable.
 func (s *Sharing) Own(now time.Time) int { return s.lender.Own(now) }
 
@@ -80,11 +84,22 @@
 
 // SetMembers takes the live instances, this one among them.
 func (s *Sharing) SetMembers(now time.Time, members []core.Instance) Output {
+	s.members = members
 	s.lender.SetMembers(now, members)
 	s.owners = Owners(s.endpoint, s.slots, members, s.self)
 	return s.settle(now, Output{})
 }
 
+// Resize takes the number of slots of the endpoint and the bound of the queue.
+func (s *Sharing) Resize(now time.Time, slots, queue int) Output {
+	s.gate.limit = queue
+	if slots == s.slots {
+		return Output{}
+	}
+	s.slots, s.lender.slots = slots, slots
+	return s.SetMembers(now, s.members)
+}
+
 // Arrive takes a new statement.
 func (s *Sharing) Arrive(now time.Time, r Request) Output {
 	return s.settle(now, Output{Actions: s.gate.Arrive(now, r)})
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -49,6 +49,12 @@
 	return func(p *Pool) { p.share.settle = d }
 }
 
+// WithControl keeps n connections of the instance's part out of the pool, for
+// requests that are not callers'.
+func WithControl(n int) Option {
+	return func(p *Pool) { p.share.control = n }
+}
+
 // New returns an empty pool for an endpoint that accepts most connections from
 // all instances together.
 func New(most int, options ...Option) *Pool {
@@ -70,6 +76,15 @@
 	return p.trim(now)
 }
 
+// Resize takes the number of connections that the endpoint accepts.
+func (p *Pool) Resize(now time.Time, most, live int) []Action {
+	if most == p.share.most {
+		return nil
+	}
+	p.share.most = most
+	return p.SetMembers(now, live)
+}
+
 // Acquire returns an idle connection that is fit for work, marked busy.
 func (p *Pool) Acquire(now time.Time, w Work) (uint64, bool) {
 	for i := len(p.connections) - 1; i >= 0; i-- {
--- a/core/pool/share.go
+++ b/core/pool/share.go
@@ -15,8 +15,10 @@
 // a replacement that starts before its forerunner is gone. A part shrinks at
 // once and grows only after the others have had time to give back theirs.
 type Share struct {
-	most   int
-	settle time.Duration
+	most int
+	// control is how many connections of each part are kept for control.
+	control int
+	settle  time.Duration
 	// limit is the present part; limit <= target at all times but for a target
 	// below one.
 	limit  int
@@ -36,7 +38,7 @@
 // SetMembers takes the number of live instances, this one included. A new
 // instance begins with half of its part.
 func (s *Share) SetMembers(now time.Time, live int) {
-	target := max(1, s.most/(max(live, 1)+1))
+	target := max(1, s.most/(max(live, 1)+1)-s.control)
 	if s.limit == 0 {
 		s.limit = max(1, target/2)
 	}
--- a/instance/beater.go
+++ b/instance/beater.go
@@ -126,7 +126,10 @@
 			brief := held.Brief()
 			return peer.Update{Version: held.Version, Document: &brief}
 		},
-		Push: in.pushed,
+		Push:   in.pushed,
+		Ask:    in.asked,
+		Return: in.returned,
+		Recall: in.recalled,
 	}
 }
 
--- a/instance/dump.go
+++ b/instance/dump.go
@@ -52,9 +52,18 @@
 
 // LinksDump is the state of the connections to one endpoint.
 type LinksDump struct {
-	Share int `json:"share"`
-	Busy  int `json:"busy"`
-	Idle  int `json:"idle"`
+	// Share is how many connections may be open.
+	Share   int `json:"share"`
+	Open    int `json:"open"`
+	Busy    int `json:"busy"`
+	Idle    int `json:"idle"`
+	Doubted int `json:"doubted"`
+	// Running and Waiting count statements.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// Own and Borrowed count usable slots.
+	Own      int `json:"own"`
+	Borrowed int `json:"borrowed"`
 }
 
 // Dump returns the state from a copy of the view; it does not hold up traffic.
@@ -104,12 +113,6 @@
 	return d
 }
 
-func (l *links) dump() LinksDump {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return LinksDump{Share: cap(l.tokens), Busy: cap(l.tokens) - len(l.tokens), Idle: len(l.idle)}
-}
-
 // age returns the time since t as text, "never" for the zero time.
 func age(now, t time.Time) string {
 	if t.IsZero() {
--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -80,6 +80,7 @@
 
 // unit appends the messages of a unit.
 func (x *exchange) unit(u *unit) {
+	x.in.Altered = x.in.Altered || u.mayAlter()
 	if u.simple {
 		x.query(u.sql)
 		return
@@ -98,6 +99,7 @@
 // transaction. All of it goes by the extended protocol up to one Sync: where the
 // start fails nothing else runs, and a text of several statements is refused.
 func (x *exchange) readOnly(u *unit) {
+	x.in.Altered = x.in.Altered || u.mayAlter()
 	x.parse(beginReadOnly, false)
 	x.in.Send(&pgproto3.Bind{PreparedStatement: beginReadOnly.name})
 	x.in.Send(&pgproto3.Execute{})
--- a/instance/group.go
+++ b/instance/group.go
@@ -63,6 +63,7 @@
 		m.member.Leaving = e.Leaving
 		m.member.DataCentre = e.DataCentre
 		m.member.Slots = e.Slots
+		m.member.links.configure(e, g.control.config.Limits.Queue)
 	}
 	g.track()
 	wake := make([]chan struct{}, 0, len(g.members))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -34,6 +34,7 @@
 	platform platform.Platform
 	list     platform.List
 	peers    *peer.Client
+	lenders  *peer.Client
 	fleet    atomic.Pointer[fleetView]
 	drainer  drainer
 	started  time.Time
@@ -71,6 +72,7 @@
 		metrics:  metrics.NewRegistry(),
 		sessions: newSessions(),
 		peers:    peer.NewClient(),
+		lenders:  peer.NewClient(peer.WithSockets(lendSockets), peer.WithTimeout(lendTimeout)),
 		started:  time.Now(),
 		spreads:  make(chan spread, spreadQueue),
 		pulls:    make(chan netip.AddrPort, pullQueue),
@@ -96,6 +98,7 @@
 	root.Add(in.control)
 	root.Add(&listener{instance: in})
 	in.addFleet(root)
+	root.Add(&keeper{instance: in})
 	root.Add(&in.drainer)
 	in.event(core.EventStarted).WithField("callers", in.settings.Callers).Info("started")
 	err := root.Serve(ctx)
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -13,6 +13,9 @@
 	readRetries    metrics.Counter
 	readWaits      metrics.Counter
 	samples        metrics.Counter
+	queueRefusals  metrics.Counter
+	readsMoved     metrics.Counter
+	slotsBorrowed  metrics.Counter
 }
 
 func newCounts(r metrics.Registry) counts {
@@ -26,5 +29,8 @@
 		readRetries:    metrics.NewRegisteredCounter("read_retries", r),
 		readWaits:      metrics.NewRegisteredCounter("read_waits", r),
 		samples:        metrics.NewRegisteredCounter("samples", r),
+		queueRefusals:  metrics.NewRegisteredCounter("queue_refusals", r),
+		readsMoved:     metrics.NewRegisteredCounter("reads_moved", r),
+		slotsBorrowed:  metrics.NewRegisteredCounter("slots_borrowed", r),
 	}
 }
--- /dev/null
+++ b/instance/pool.go
@@ -0,0 +1,109 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"anviltack/core"
+	"anviltack/core/pool"
+	"anviltack/io/endpoint"
+)
+
+const (
+	// stateTooManyConnections is the SQLSTATE of an endpoint at its cap.
+	stateTooManyConnections = "53300"
+	// connectPause is the advice to a caller while no connection can be opened.
+	connectPause = 200 * time.Millisecond
+)
+
+// perform carries out actions on connections; the lock is held.
+func (l *links) perform(actions []pool.Action) {
+	for _, a := range actions {
+		c := l.conns[a.Connection]
+		switch a.Do {
+		case pool.DoOpen:
+			go l.open(a.Connection)
+		case pool.DoTest:
+			go l.test(a.Connection, c)
+		case pool.DoMove:
+			l.instance.counts.readsMoved.Inc(1)
+			c.Interrupt()
+		case pool.DoClose:
+			l.drop(a.Connection)
+		case pool.DoReset:
+			// put starts the reset itself, because it holds the slot.
+		}
+	}
+}
+
+// drop closes a connection.
+func (l *links) drop(n uint64) {
+	if c := l.conns[n]; c != nil {
+		delete(l.conns, n)
+		go c.Close()
+	}
+}
+
+// open opens a connection.
+func (l *links) open(n uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), l.instance.settings.Connect)
+	defer cancel()
+	c, err := endpoint.Dial(ctx, l.name, l.address, l.instance.login())
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.openFailed(now, n, err)
+		return
+	}
+	l.conns[n] = c
+	actions := l.connections.Opened(now, n)
+	if l.closed {
+		actions = []pool.Action{{Do: pool.DoClose, Connection: n}}
+	}
+	l.perform(actions)
+	l.apply(now, l.sharing.Tick(now))
+}
+
+// openFailed takes in a failed opening. While there is no connection at all,
+// statements that wait are refused at once.
+func (l *links) openFailed(now time.Time, n uint64, err error) {
+	var s *endpoint.ServerError
+	tooMany := errors.As(err, &s) && s.State == stateTooManyConnections
+	l.connections.OpenFailed(now, n, tooMany)
+	if len(l.conns) > 0 {
+		return
+	}
+	reason := "could not connect to %s"
+	if tooMany {
+		reason = "%s takes no more connections"
+	}
+	l.refuseWaiting(now, core.NewError(core.CodeNoConnection, reason, l.name).WithRetry(connectPause))
+}
+
+// test asks an idle connection for the endpoint's status.
+func (l *links) test(n uint64, c *endpoint.Conn) {
+	_, err := c.Status(time.Now().Add(l.instance.settings.Answer))
+	l.tested(n, err == nil, nil)
+}
+
+// reset discards the session state of a connection; the statement that left it
+// holds its slot until then.
+func (l *links) reset(u *use, c *endpoint.Conn) {
+	err := c.Reset(time.Now().Add(l.instance.settings.Answer))
+	l.tested(u.connection, err == nil, u)
+}
+
+// tested takes in the result of a test, or of a reset for a use.
+func (l *links) tested(n uint64, ok bool, u *use) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.perform(l.connections.Tested(now, n, ok && !l.closed))
+	if u != nil {
+		l.apply(now, l.sharing.Finish(now, u.request))
+		return
+	}
+	l.apply(now, l.sharing.Tick(now))
+}
--- a/instance/session.go
+++ b/instance/session.go
@@ -19,6 +19,10 @@
 // configuration states a deadline.
 const defaultDeadline = 5 * time.Second
 
+// defaultTransactionIdle bounds how long a caller may be idle in a transaction
+// when the configuration states nothing.
+const defaultTransactionIdle = 30 * time.Second
+
 // session is one caller's session; only its own goroutine touches it, but for
 // the fields in sessionEntry.
 type session struct {
@@ -164,13 +168,20 @@
 		if s.held == nil && s.instance.isDraining() {
 			return draining()
 		}
+		s.awaitTransaction()
 		u, err := s.nextUnit()
+		if s.held != nil && caller.IsTimeout(err) {
+			return core.NewError(core.CodeTransactionIdle, "the transaction was idle for too long and was rolled back")
+		}
 		if err != nil && s.isEnding() {
 			return draining()
 		}
 		if err != nil || u == nil {
 			return err
 		}
+		if s.held != nil {
+			s.conn.SetReadDeadline(time.Time{})
+		}
 		u.deadline = u.arrived.Add(s.limit(u.annotation))
 		if err := s.serveUnit(u); err != nil {
 			return err
@@ -184,6 +195,18 @@
 	return core.NewError(core.CodeDraining, "the instance is stopping, connect again")
 }
 
+// awaitTransaction bounds the wait for the next statement of an open transaction.
+func (s *session) awaitTransaction() {
+	if s.held == nil {
+		return
+	}
+	limit := time.Duration(s.instance.View().Config.Limits.TransactionIdle)
+	if limit <= 0 {
+		limit = defaultTransactionIdle
+	}
+	s.conn.SetReadDeadline(time.Now().Add(limit))
+}
+
 // limit is how long a statement may take.
 func (s *session) limit(a annotation) time.Duration {
 	if a.deadline > 0 {
--- a/instance/write.go
+++ b/instance/write.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/pool"
 	"anviltack/io/caller"
 	"anviltack/io/endpoint"
 )
@@ -62,7 +63,7 @@
 
 // on takes a connection to a member for a unit.
 func (s *session) on(u *unit, m *Member, term uint64) (*work, *core.Error) {
-	conn, e := m.links.get(u.deadline)
+	conn, e := m.links.get(admission{caller: s.login.Caller, deadline: u.deadline, work: workOf(u)})
 	if e != nil {
 		return nil, e
 	}
@@ -102,6 +103,7 @@
 	if o.status != 'I' {
 		w.session.held = &hold{conn: w.conn, links: w.member.links}
 		w.session.finish()
+		w.member.links.pause(w.conn)
 		return false, w.session.ready(o.status)
 	}
 	if o.failure == "" && w.unit.simple && isSet(w.unit.sql) {
@@ -260,6 +262,9 @@
 		return u.fault
 	}
 	h := s.held
+	if _, e := h.links.get(admission{caller: s.login.Caller, deadline: u.deadline, work: pool.WorkTransaction, held: h.conn}); e != nil {
+		return core.NewError(core.CodeTransactionLost, "the transaction was rolled back: %s", e.Reason).WithRetry(e.RetryAfter)
+	}
 	s.begin(h.conn)
 	h.conn.SetDeadline(u.deadline)
 	x := newExchange(h.conn, s.conn)
@@ -278,6 +283,7 @@
 	}
 	reusable := s.finish()
 	if o.status != 'I' {
+		h.links.pause(h.conn)
 		return s.ready(o.status)
 	}
 	s.held = nil
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -60,6 +60,12 @@
 	}
 }
 
+// IsTimeout reports whether an error means that no message came in time.
+func IsTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
+
 // Interrupt sets the deadline of a Receive in which another goroutine waits.
 func (c *Conn) Interrupt(t time.Time) { _ = c.conn.SetReadDeadline(t) }
 
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -29,6 +29,9 @@
 	Unnamed string
 	// Session describes the session state that was set at the other end.
 	Session string
+	// Altered tells that the session state may differ from what Session, Named
+	// and Unnamed say; Reset mends it.
+	Altered bool
 
 	conn     net.Conn
 	frontend *pgproto3.Frontend
@@ -140,11 +143,9 @@
 	return c.broken
 }
 
-// Close ends the connection at once.
-func (c *Conn) Close() {
-	_ = c.fail(net.ErrClosed)
-	_ = c.conn.Close()
-}
+// Close ends the connection at once; every later use fails. It may be called
+// from another goroutine.
+func (c *Conn) Close() { _ = c.conn.Close() }
 
 // Cancel asks the endpoint, over a connection of its own, to stop the statement
 // that runs on c. It may be called from another goroutine.
--- a/io/endpoint/status.go
+++ b/io/endpoint/status.go
@@ -16,6 +16,7 @@
 	StatusStatement  = "SELECT * FROM anviltack_status()"
 	fenceStatement   = "SELECT * FROM anviltack_fence(%d)"
 	promoteStatement = "SELECT * FROM anviltack_promote(%d)"
+	resetStatement   = "DISCARD ALL"
 )
 
 // statusColumns is the number of columns of a status row.
@@ -39,6 +40,35 @@
 	return c.control(fmt.Sprintf(promoteStatement, term), deadline)
 }
 
+// Reset gives the other end the session state of a new connection.
+func (c *Conn) Reset(deadline time.Time) error {
+	c.SetDeadline(deadline)
+	c.Send(&pgproto3.Query{String: resetStatement})
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	var failure error
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := m.(type) {
+		case *pgproto3.ErrorResponse:
+			failure = &ServerError{State: m.Code, Message: m.Message}
+		case *pgproto3.ReadyForQuery:
+			if failure == nil && m.TxStatus != 'I' {
+				failure = ErrShape
+			}
+			if failure == nil {
+				clear(c.Named)
+				c.Unnamed, c.Session, c.Altered = "", "", false
+			}
+			return failure
+		}
+	}
+}
+
 func (c *Conn) control(statement string, deadline time.Time) (core.Status, error) {
 	c.SetDeadline(deadline)
 	c.Send(&pgproto3.Query{String: statement})
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -29,6 +29,11 @@
 // Option changes a default of a client.
 type Option func(*Client)
 
+// WithSockets sets how many idle sockets are kept to each peer.
+func WithSockets(n int) Option {
+	return func(c *Client) { c.http.Transport.(*http.Transport).MaxIdleConnsPerHost = n }
+}
+
 // WithTimeout bounds each call.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
--- /dev/null
+++ b/io/peer/lending.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"anviltack/core"
+	"anviltack/core/admit"
+	"anviltack/io/peer/wire"
+)
+
+// Ask asks the owner of an endpoint's slot for it.
+func (c *Client) Ask(ctx context.Context, owner netip.AddrPort, e core.Endpoint, a admit.Ask) (admit.Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	m, err := c.to(owner).Ask(ctx, encodeAsk(e, a))
+	if err != nil {
+		return admit.Grant{}, fmt.Errorf("peer: ask: %w", err)
+	}
+	return admit.Grant{ID: a.ID, To: a.From, Slot: int(m.GetSlot()), Lease: microseconds(m.GetLeaseUs())}, nil
+}
+
+// Return gives a slot back to its owner.
+func (c *Client) Return(ctx context.Context, owner netip.AddrPort, e core.Endpoint, a admit.Ask) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if _, err := c.to(owner).Return(ctx, encodeAsk(e, a)); err != nil {
+		return fmt.Errorf("peer: return: %w", err)
+	}
+	return nil
+}
+
+// Recall asks a borrower for a slot that self owns.
+func (c *Client) Recall(ctx context.Context, to netip.AddrPort, e core.Endpoint, self core.Instance, r admit.Recall) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, err := c.to(to).Recall(ctx, &wire.SlotRecall{
+		Endpoint: string(e), Instance: string(self), Id: r.ID, Slot: int32(r.Slot), QuantumUs: uint64(max(r.Quantum.Microseconds(), 0)),
+	})
+	if err != nil {
+		return fmt.Errorf("peer: recall: %w", err)
+	}
+	return nil
+}
+
+func encodeAsk(e core.Endpoint, a admit.Ask) *wire.SlotAsk {
+	return &wire.SlotAsk{Endpoint: string(e), Instance: string(a.From), Id: a.ID, Slot: int32(a.Slot), Demand: uint32(max(a.Demand, 0))}
+}
+
+func decodeAsk(m *wire.SlotAsk) (core.Endpoint, admit.Ask) {
+	return core.Endpoint(m.GetEndpoint()), admit.Ask{
+		ID: m.GetId(), From: core.Instance(m.GetInstance()), Slot: int(m.GetSlot()), Demand: int(m.GetDemand()),
+	}
+}
+
+// maxMicroseconds keeps a duration off the wire within time.Duration.
+const maxMicroseconds = uint64(1<<63-1) / uint64(time.Microsecond)
+
+func microseconds(n uint64) time.Duration {
+	return time.Duration(min(n, maxMicroseconds)) * time.Microsecond
+}
+
+// Ask answers an ask for a slot.
+func (s *server) Ask(ctx context.Context, m *wire.SlotAsk) (*wire.SlotGrant, error) {
+	if s.h.Ask == nil {
+		return nil, notOffered("Ask")
+	}
+	if m.GetInstance() == "" {
+		return nil, twirp.RequiredArgumentError("instance")
+	}
+	e, a := decodeAsk(m)
+	g, err := s.h.Ask(ctx, e, a)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &wire.SlotGrant{Slot: int32(g.Slot), LeaseUs: uint64(max(g.Lease.Microseconds(), 0))}, nil
+}
+
+// Return takes a slot back.
+func (s *server) Return(_ context.Context, m *wire.SlotAsk) (*wire.Acknowledgement, error) {
+	if s.h.Return == nil {
+		return nil, notOffered("Return")
+	}
+	s.h.Return(decodeAsk(m))
+	return &wire.Acknowledgement{}, nil
+}
+
+// Recall takes in the recall of a slot.
+func (s *server) Recall(_ context.Context, m *wire.SlotRecall) (*wire.Acknowledgement, error) {
+	if s.h.Recall == nil {
+		return nil, notOffered("Recall")
+	}
+	s.h.Recall(core.Endpoint(m.GetEndpoint()), core.Instance(m.GetInstance()),
+		admit.Recall{ID: m.GetId(), Slot: int(m.GetSlot()), Quantum: microseconds(m.GetQuantumUs())})
+	return &wire.Acknowledgement{}, nil
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -7,6 +7,7 @@
 	"github.com/twitchtv/twirp"
 
 	"anviltack/core"
+	"anviltack/core/admit"
 	"anviltack/core/member"
 	"anviltack/io/peer/wire"
 )
@@ -21,6 +22,10 @@
 	Push     func(ctx context.Context, u Update) (uint64, error)
 	Opinion  func(ctx context.Context, r OpinionRequest) Opinion
 	Promoted func(ctx context.Context, p Promotion)
+	// Ask holds its answer until a slot is free or the owner gives up.
+	Ask    func(ctx context.Context, e core.Endpoint, a admit.Ask) (admit.Grant, error)
+	Return func(e core.Endpoint, a admit.Ask)
+	Recall func(e core.Endpoint, from core.Instance, r admit.Recall)
 }
 
 // NewHandler returns the HTTP handler of the peer protocol.
--- a/io/peer/wire/wire.twirp.go
+++ b/io/peer/wire/wire.twirp.go
@@ -48,6 +48,16 @@
 
 	// Promoted tells of a completed promotion.
 	Promoted(context.Context, *Promotion) (*Acknowledgement, error)
+
+	// Ask asks the owner of an endpoint's slot to lend it; the answer is held
+	// until a slot is free or the owner gives up.
+	Ask(context.Context, *SlotAsk) (*SlotGrant, error)
+
+	// Return gives a slot back to its owner.
+	Return(context.Context, *SlotAsk) (*Acknowledgement, error)
+
+	// Recall asks a borrower to give a slot back.
+	Recall(context.Context, *SlotRecall) (*Acknowledgement, error)
 }
 
 // ====================
@@ -56,7 +66,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [8]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -84,12 +94,15 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "anviltack.wire", "Peer")
-	urls := [5]string{
+	urls := [8]string{
 		serviceURL + "Beat",
 		serviceURL + "Pull",
 		serviceURL + "Push",
 		serviceURL + "Opinion",
 		serviceURL + "Promoted",
+		serviceURL + "Ask",
+		serviceURL + "Return",
+		serviceURL + "Recall",
 	}
 
 	return &peerProtobufClient{
@@ -330,13 +343,151 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) Ask(ctx context.Context, in *SlotAsk) (*SlotGrant, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "anviltack.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Ask")
+	caller := c.callAsk
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SlotAsk) (*SlotGrant, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SlotAsk)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SlotAsk) when calling interceptor")
+					}
+					return c.callAsk(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SlotGrant)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SlotGrant) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callAsk(ctx context.Context, in *SlotAsk) (*SlotGrant, error) {
+	out := new(SlotGrant)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Return(ctx context.Context, in *SlotAsk) (*Acknowledgement, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "anviltack.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Return")
+	caller := c.callReturn
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SlotAsk) (*Acknowledgement, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SlotAsk)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SlotAsk) when calling interceptor")
+					}
+					return c.callReturn(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Acknowledgement)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Acknowledgement) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callReturn(ctx context.Context, in *SlotAsk) (*Acknowledgement, error) {
+	out := new(Acknowledgement)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Recall(ctx context.Context, in *SlotRecall) (*Acknowledgement, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "anviltack.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Recall")
+	caller := c.callRecall
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SlotRecall) (*Acknowledgement, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SlotRecall)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SlotRecall) when calling interceptor")
+					}
+					return c.callRecall(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Acknowledgement)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Acknowledgement) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callRecall(ctx context.Context, in *SlotRecall) (*Acknowledgement, error) {
+	out := new(Acknowledgement)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [8]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -364,12 +515,15 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "anviltack.wire", "Peer")
-	urls := [5]string{
+	urls := [8]string{
 		serviceURL + "Beat",
 		serviceURL + "Pull",
 		serviceURL + "Push",
 		serviceURL + "Opinion",
 		serviceURL + "Promoted",
+		serviceURL + "Ask",
+		serviceURL + "Return",
+		serviceURL + "Recall",
 	}
 
 	return &peerJSONClient{
@@ -610,6 +764,144 @@
 	return out, nil
 }
 
+func (c *peerJSONClient) Ask(ctx context.Context, in *SlotAsk) (*SlotGrant, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "anviltack.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Ask")
+	caller := c.callAsk
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SlotAsk) (*SlotGrant, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SlotAsk)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SlotAsk) when calling interceptor")
+					}
+					return c.callAsk(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SlotGrant)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SlotGrant) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callAsk(ctx context.Context, in *SlotAsk) (*SlotGrant, error) {
+	out := new(SlotGrant)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Return(ctx context.Context, in *SlotAsk) (*Acknowledgement, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "anviltack.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Return")
+	caller := c.callReturn
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SlotAsk) (*Acknowledgement, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SlotAsk)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SlotAsk) when calling interceptor")
+					}
+					return c.callReturn(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Acknowledgement)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Acknowledgement) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callReturn(ctx context.Context, in *SlotAsk) (*Acknowledgement, error) {
+	out := new(Acknowledgement)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Recall(ctx context.Context, in *SlotRecall) (*Acknowledgement, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "anviltack.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Recall")
+	caller := c.callRecall
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SlotRecall) (*Acknowledgement, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SlotRecall)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SlotRecall) when calling interceptor")
+					}
+					return c.callRecall(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Acknowledgement)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Acknowledgement) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callRecall(ctx context.Context, in *SlotRecall) (*Acknowledgement, error) {
+	out := new(Acknowledgement)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Peer Server Handler
 // ===================
@@ -722,6 +1014,15 @@
 	case "Promoted":
 		s.servePromoted(ctx, resp, req)
 		return
+	case "Ask":
+		s.serveAsk(ctx, resp, req)
+		return
+	case "Return":
+		s.serveReturn(ctx, resp, req)
+		return
+	case "Recall":
+		s.serveRecall(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1629,6 +1930,546 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *peerServer) serveAsk(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAskJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAskProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveAskJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Ask")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SlotAsk)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Ask
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SlotAsk) (*SlotGrant, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SlotAsk)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SlotAsk) when calling interceptor")
+					}
+					return s.Peer.Ask(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SlotGrant)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SlotGrant) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SlotGrant
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SlotGrant and nil error while calling Ask. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveAskProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Ask")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SlotAsk)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Ask
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SlotAsk) (*SlotGrant, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SlotAsk)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SlotAsk) when calling interceptor")
+					}
+					return s.Peer.Ask(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SlotGrant)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SlotGrant) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SlotGrant
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SlotGrant and nil error while calling Ask. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveReturn(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReturnJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReturnProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveReturnJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Return")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SlotAsk)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Return
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SlotAsk) (*Acknowledgement, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SlotAsk)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SlotAsk) when calling interceptor")
+					}
+					return s.Peer.Return(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Acknowledgement)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Acknowledgement) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Acknowledgement
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Acknowledgement and nil error while calling Return. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveReturnProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Return")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SlotAsk)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Return
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SlotAsk) (*Acknowledgement, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SlotAsk)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SlotAsk) when calling interceptor")
+					}
+					return s.Peer.Return(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Acknowledgement)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Acknowledgement) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Acknowledgement
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Acknowledgement and nil error while calling Return. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveRecall(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveRecallJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveRecallProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveRecallJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Recall")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SlotRecall)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Recall
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SlotRecall) (*Acknowledgement, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SlotRecall)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SlotRecall) when calling interceptor")
+					}
+					return s.Peer.Recall(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Acknowledgement)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Acknowledgement) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Acknowledgement
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Acknowledgement and nil error while calling Recall. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveRecallProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Recall")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SlotRecall)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Recall
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SlotRecall) (*Acknowledgement, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SlotRecall)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SlotRecall) when calling interceptor")
+					}
+					return s.Peer.Recall(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Acknowledgement)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Acknowledgement) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Acknowledgement
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Acknowledgement and nil error while calling Recall. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -2210,38 +3051,47 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 520 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x54, 0x4d, 0x6f, 0x13, 0x31,
-	0x10, 0xd5, 0x36, 0xdb, 0x76, 0x33, 0x0d, 0x45, 0xb2, 0x50, 0x31, 0x29, 0xd0, 0x68, 0x39, 0x10,
-	0x09, 0x29, 0x91, 0xe0, 0x86, 0xe0, 0xd0, 0x82, 0xf8, 0x38, 0x44, 0x84, 0x3d, 0x72, 0x89, 0x9c,
-	0x78, 0x14, 0xac, 0x6e, 0xec, 0xc5, 0x76, 0x12, 0xfa, 0x1b, 0xf8, 0x81, 0xfc, 0x11, 0x7e, 0x00,
-	0x1a, 0xef, 0x66, 0x95, 0x2c, 0xa4, 0x70, 0x89, 0xfc, 0xe6, 0x8d, 0xed, 0x97, 0x37, 0x6f, 0x0d,
-	0xf7, 0x95, 0x19, 0x16, 0x88, 0x76, 0xb8, 0x56, 0x16, 0xc3, 0xcf, 0xa0, 0xb0, 0xc6, 0x1b, 0x76,
-	0x2a, 0xf4, 0x4a, 0xe5, 0x5e, 0xcc, 0xae, 0x07, 0x54, 0x4d, 0x7f, 0x45, 0xd0, 0xfe, 0x80, 0xc2,
-	0xfa, 0x29, 0x0a, 0xcf, 0xba, 0x90, 0x28, 0xed, 0xbc, 0xd0, 0x33, 0xe4, 0x51, 0x2f, 0xea, 0xb7,
-	0xb3, 0x1a, 0xb3, 0x0b, 0x38, 0x91, 0xc2, 0x8b, 0xc9, 0x0c, 0xb5, 0xb7, 0xc8, 0x0f, 0x02, 0x0d,
-	0x54, 0x7a, 0x13, 0x2a, 0x8c, 0xc3, 0xb1, 0x90, 0xd2, 0xa2, 0x73, 0xbc, 0x15, 0xc8, 0x0d, 0x24,
-	0x66, 0x85, 0xd6, 0x29, 0xa3, 0x79, 0xdc, 0x8b, 0xfa, 0x71, 0xb6, 0x81, 0xec, 0x1c, 0xda, 0xcb,
-	0xc2, 0xab, 0x05, 0x4e, 0x16, 0x8e, 0x1f, 0x06, 0x2e, 0x29, 0x0b, 0x23, 0x47, 0x6a, 0xa4, 0x15,
-	0x4a, 0x2b, 0x3d, 0xe7, 0x47, 0xbd, 0xa8, 0x9f, 0x64, 0x35, 0xa6, 0x23, 0x73, 0x14, 0x2b, 0xa2,
-	0x8e, 0x7b, 0x2d, 0xba, 0xac, 0x82, 0xec, 0x09, 0xdc, 0xa9, 0x96, 0x13, 0xa5, 0x25, 0x7e, 0xe7,
-	0x49, 0x38, 0xb6, 0x53, 0x15, 0x3f, 0x52, 0x2d, 0x7d, 0x0a, 0x27, 0xe3, 0x65, 0x9e, 0x67, 0xf8,
-	0x6d, 0x89, 0xce, 0x6f, 0x0b, 0x8c, 0x76, 0x04, 0xa6, 0x3f, 0x22, 0x48, 0xde, 0x9a, 0xd9, 0x72,
-	0x81, 0xfa, 0x96, 0x36, 0xc6, 0x20, 0x9e, 0x1a, 0x79, 0x13, 0x5c, 0xe9, 0x64, 0x61, 0xcd, 0xce,
-	0xe0, 0xc8, 0xe8, 0xb5, 0xb0, 0x92, 0xb7, 0x82, 0xc2, 0x0a, 0xd1, 0x29, 0x64, 0x98, 0x42, 0x17,
-	0xdc, 0xe8, 0x64, 0x1b, 0xd8, 0xb4, 0xf8, 0xb0, 0x69, 0x71, 0xfa, 0x0c, 0xee, 0x5e, 0xce, 0xae,
-	0xb5, 0x59, 0xe7, 0x28, 0xe7, 0x78, 0xbb, 0xa6, 0xf4, 0x25, 0x9c, 0x7e, 0x2a, 0x94, 0x56, 0x46,
-	0x6f, 0xfe, 0xe6, 0x3d, 0x38, 0x9c, 0x5b, 0xb3, 0x2c, 0xaa, 0xd9, 0x96, 0x80, 0xb4, 0x7b, 0xb4,
-	0x8b, 0xa0, 0x3d, 0xce, 0xc2, 0x3a, 0xf5, 0xd0, 0xa9, 0xf7, 0x16, 0xf9, 0x0d, 0xed, 0xa4, 0x6b,
-	0xcb, 0x3b, 0x92, 0xac, 0x04, 0x7f, 0xdb, 0x49, 0x13, 0x75, 0x2a, 0x47, 0xed, 0x69, 0xa2, 0xad,
-	0x72, 0xa2, 0x65, 0x61, 0xe4, 0xd8, 0x23, 0x00, 0xe7, 0x45, 0x9e, 0xa3, 0x24, 0xb6, 0xcc, 0x42,
-	0xbb, 0xaa, 0x8c, 0x5c, 0xfa, 0x19, 0xda, 0x63, 0x6b, 0x16, 0xc6, 0x93, 0xa5, 0xff, 0x2d, 0x96,
-	0x72, 0x82, 0x5a, 0x16, 0x46, 0x69, 0x5f, 0x25, 0xaf, 0xc6, 0xcf, 0x7f, 0x1e, 0x40, 0x3c, 0x46,
-	0xb4, 0xec, 0x15, 0xc4, 0x57, 0x14, 0xf1, 0x07, 0x83, 0xdd, 0x2f, 0x60, 0x50, 0xa7, 0xbf, 0xbb,
-	0x9f, 0x62, 0xaf, 0x21, 0xa6, 0xbc, 0xb0, 0xf3, 0x66, 0xcb, 0x56, 0x8a, 0xba, 0xbc, 0x49, 0xd6,
-	0xc1, 0xb9, 0xa4, 0xed, 0xee, 0x2b, 0xdb, 0xdb, 0xd1, 0xbd, 0x68, 0x32, 0xcd, 0x39, 0xbf, 0x87,
-	0xe3, 0x6a, 0x22, 0xec, 0x71, 0xb3, 0x77, 0x77, 0xcc, 0xdd, 0x87, 0x7b, 0x79, 0x1a, 0xe5, 0x3b,
-	0x48, 0x4a, 0x93, 0x51, 0xfe, 0x69, 0x46, 0x6d, 0xff, 0x3f, 0x05, 0x5d, 0xf1, 0x2f, 0x67, 0x75,
-	0xc7, 0x70, 0xfb, 0xb9, 0x99, 0x1e, 0x85, 0xa7, 0xe6, 0xc5, 0xef, 0x00, 0x00, 0x00, 0xff, 0xff,
-	0xd5, 0x31, 0xf5, 0xae, 0x85, 0x04, 0x00, 0x00,
+	// 670 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x55, 0xcd, 0x4e, 0xdb, 0x4a,
+	0x14, 0x96, 0x13, 0x27, 0x71, 0x0e, 0x81, 0x2b, 0x8d, 0xae, 0xc0, 0x84, 0xcb, 0x25, 0xf2, 0x5d,
+	0x5c, 0xa4, 0x4a, 0x41, 0x6a, 0x57, 0x45, 0xed, 0x02, 0xfa, 0x43, 0xbb, 0x40, 0xa5, 0xae, 0xd8,
+	0x74, 0x13, 0x0d, 0x99, 0x23, 0x3a, 0xc2, 0x99, 0x09, 0x33, 0x63, 0x28, 0x8b, 0xae, 0xbb, 0xe8,
+	0x33, 0xf4, 0x2d, 0xfb, 0x00, 0xd5, 0x19, 0x3b, 0x6e, 0x62, 0x08, 0x74, 0xd3, 0x4d, 0x34, 0xdf,
+	0xf9, 0x9b, 0xcf, 0xe7, 0x7c, 0x67, 0x02, 0x1b, 0x52, 0xef, 0x4d, 0x11, 0xcd, 0xde, 0xb5, 0x34,
+	0xe8, 0x7f, 0x86, 0x53, 0xa3, 0x9d, 0x66, 0x6b, 0x5c, 0x5d, 0xc9, 0xcc, 0xf1, 0xf1, 0xc5, 0x90,
+	0xac, 0xc9, 0x8f, 0x00, 0xba, 0x6f, 0x90, 0x1b, 0x77, 0x86, 0xdc, 0xb1, 0x3e, 0x44, 0x52, 0x59,
+	0xc7, 0xd5, 0x18, 0xe3, 0x60, 0x10, 0xec, 0x76, 0xd3, 0x0a, 0xb3, 0x1d, 0x58, 0x11, 0xdc, 0xf1,
+	0xd1, 0x18, 0x95, 0x33, 0x18, 0x37, 0xbc, 0x1b, 0xc8, 0xf4, 0xc2, 0x5b, 0x58, 0x0c, 0x1d, 0x2e,
+	0x84, 0x41, 0x6b, 0xe3, 0xa6, 0x77, 0xce, 0x20, 0x79, 0xae, 0xd0, 0x58, 0xa9, 0x55, 0x1c, 0x0e,
+	0x82, 0xdd, 0x30, 0x9d, 0x41, 0xb6, 0x05, 0xdd, 0x7c, 0xea, 0xe4, 0x04, 0x47, 0x13, 0x1b, 0xb7,
+	0xbc, 0x2f, 0x2a, 0x0c, 0xc7, 0x96, 0xd8, 0x08, 0xc3, 0xa5, 0x92, 0xea, 0x3c, 0x6e, 0x0f, 0x82,
+	0xdd, 0x28, 0xad, 0x30, 0x95, 0xcc, 0x90, 0x5f, 0x91, 0xab, 0x33, 0x68, 0xd2, 0x65, 0x25, 0x64,
+	0xff, 0xc1, 0x6a, 0x79, 0x1c, 0x49, 0x25, 0xf0, 0x73, 0x1c, 0xf9, 0xb2, 0xbd, 0xd2, 0xf8, 0x96,
+	0x6c, 0xc9, 0xff, 0xb0, 0x72, 0x92, 0x67, 0x59, 0x8a, 0x97, 0x39, 0x5a, 0x37, 0x4f, 0x30, 0x58,
+	0x20, 0x98, 0x7c, 0x0b, 0x20, 0x7a, 0xa9, 0xc7, 0xf9, 0x04, 0xd5, 0x3d, 0x61, 0x8c, 0x41, 0x78,
+	0xa6, 0xc5, 0x8d, 0xef, 0x4a, 0x2f, 0xf5, 0x67, 0xb6, 0x0e, 0x6d, 0xad, 0xae, 0xb9, 0x11, 0x71,
+	0xd3, 0x33, 0x2c, 0x11, 0x55, 0xa1, 0x86, 0x49, 0xb4, 0xbe, 0x1b, 0xbd, 0x74, 0x06, 0xeb, 0x2d,
+	0x6e, 0xd5, 0x5b, 0x9c, 0x3c, 0x82, 0xbf, 0x0e, 0xc6, 0x17, 0x4a, 0x5f, 0x67, 0x28, 0xce, 0xf1,
+	0x7e, 0x4e, 0xc9, 0x3e, 0xac, 0xbd, 0x9b, 0x4a, 0x25, 0xb5, 0x9a, 0x7d, 0xe6, 0xdf, 0xd0, 0x3a,
+	0x37, 0x3a, 0x9f, 0x96, 0xb3, 0x2d, 0x00, 0x71, 0x77, 0x68, 0x26, 0x9e, 0x7b, 0x98, 0xfa, 0x73,
+	0xe2, 0xa0, 0x57, 0xe5, 0x4e, 0xb3, 0x1b, 0xca, 0xa4, 0x6b, 0x8b, 0x3b, 0xa2, 0xb4, 0x00, 0x77,
+	0x65, 0xd2, 0x44, 0xad, 0xcc, 0x50, 0x39, 0x9a, 0x68, 0xb3, 0x98, 0x68, 0x61, 0x38, 0xb6, 0x6c,
+	0x1b, 0xc0, 0x3a, 0x9e, 0x65, 0x28, 0xc8, 0x5b, 0x68, 0xa1, 0x5b, 0x5a, 0x8e, 0x6d, 0xf2, 0x1e,
+	0xba, 0x27, 0x46, 0x4f, 0xb4, 0xa3, 0x96, 0xfe, 0x36, 0x59, 0xd2, 0x09, 0x2a, 0x31, 0xd5, 0x52,
+	0xb9, 0x52, 0x79, 0x15, 0x4e, 0xbe, 0x40, 0xe7, 0x43, 0xa6, 0xdd, 0x81, 0xbd, 0x58, 0x08, 0x0b,
+	0x16, 0xc3, 0x16, 0x84, 0xdf, 0xa8, 0x09, 0x7f, 0x0d, 0x1a, 0x52, 0x94, 0x9f, 0xd2, 0x90, 0x82,
+	0x28, 0xd8, 0x4c, 0x3b, 0x4f, 0xbf, 0x95, 0xfa, 0x33, 0xcd, 0x5a, 0xe0, 0x84, 0x2b, 0xe1, 0x87,
+	0xb6, 0x9a, 0x96, 0x28, 0xd9, 0x87, 0x2e, 0x5d, 0x7f, 0x64, 0xb8, 0x72, 0x55, 0x62, 0x30, 0x97,
+	0xb8, 0x09, 0x51, 0x86, 0xdc, 0xe2, 0x28, 0xb7, 0xe5, 0x37, 0x75, 0x3c, 0x3e, 0xb5, 0xc9, 0xd7,
+	0x00, 0x80, 0x92, 0x53, 0x1c, 0xf3, 0x2c, 0xfb, 0xa3, 0xf4, 0xb7, 0x01, 0x2e, 0x73, 0xae, 0x5c,
+	0x3e, 0x21, 0x1e, 0xc5, 0x1e, 0x76, 0x4b, 0xcb, 0xa9, 0x7d, 0xfc, 0x3d, 0x84, 0xf0, 0x04, 0xd1,
+	0xb0, 0x67, 0x10, 0x1e, 0xd2, 0x3b, 0xb1, 0x39, 0x5c, 0x7c, 0x46, 0x86, 0xd5, 0x13, 0xd2, 0x5f,
+	0xee, 0x62, 0xcf, 0x21, 0xa4, 0xa5, 0x63, 0x5b, 0xf5, 0x90, 0xb9, 0x55, 0xec, 0xc7, 0x75, 0x67,
+	0xb5, 0x7d, 0x07, 0x94, 0x6e, 0x3f, 0xb1, 0xa5, 0x11, 0xfd, 0x9d, 0xba, 0xa7, 0xbe, 0x2c, 0x47,
+	0xd0, 0x29, 0x65, 0xcd, 0xfe, 0xad, 0xc7, 0x2e, 0xee, 0x4a, 0xff, 0x9f, 0xa5, 0x7e, 0xda, 0x87,
+	0xd7, 0x10, 0x15, 0x4a, 0x45, 0x71, 0xbb, 0x19, 0x95, 0x86, 0x1f, 0x26, 0xf4, 0x14, 0x9a, 0x24,
+	0xcd, 0x8d, 0x7a, 0x5c, 0xa9, 0xd9, 0xdb, 0xdd, 0xfc, 0xa5, 0xa6, 0x43, 0x68, 0xa7, 0xe8, 0x72,
+	0xa3, 0x96, 0x67, 0x3f, 0x78, 0xfd, 0x2b, 0xaa, 0x51, 0xa8, 0xeb, 0xae, 0x1a, 0x85, 0xef, 0xc1,
+	0x32, 0x87, 0xf1, 0xc7, 0xf5, 0x2a, 0x62, 0x6f, 0xfe, 0x9f, 0xe7, 0xac, 0xed, 0xff, 0x75, 0x9e,
+	0xfc, 0x0c, 0x00, 0x00, 0xff, 0xff, 0x1b, 0x1d, 0x08, 0xe0, 0x90, 0x06, 0x00, 0x00,
 }
