--- a/instance/beater.go
+++ b/instance/beater.go
@@ -131,10 +131,12 @@
 			brief := held.Brief()
 			return peer.Update{Version: held.Version, Document: &brief}
 		},
-		Push:   in.pushed,
-		Ask:    in.asked,
-		Return: in.returned,
-		Recall: in.recalled,
+		Push:     in.pushed,
+		Ask:      in.asked,
+		Return:   in.returned,
+		Recall:   in.recalled,
+		Opinion:  in.opinion,
+		Promoted: in.promoted,
 	}
 }
 
--- a/instance/links.go
+++ b/instance/links.go
@@ -30,6 +30,8 @@
 	instance *Instance
 	name     core.Endpoint
 	address  netip.AddrPort
+	// evidence takes what a failure of a connection shows of the endpoint.
+	evidence func(err error)
 
 	mu sync.Mutex
 	// sharing decides which statements run; connections decide on what.
@@ -115,8 +117,20 @@
 }
 
 // get waits for a slot and a connection, which are for the caller alone until
-// the connection is put back.
+// the connection is put back. A connection on which something came in while it
+// was idle is closed and never handed out.
 func (l *links) get(a admission) (*endpoint.Conn, *core.Error) {
+	for {
+		c, e := l.admit(a)
+		if e != nil || a.held != nil || c.IsQuiet() {
+			return c, e
+		}
+		l.instance.counts.connectionsDirty.Inc(1)
+		l.put(c, false)
+	}
+}
+
+func (l *links) admit(a admission) (*endpoint.Conn, *core.Error) {
 	w := &waiter{admission: a, verdict: make(chan verdict, 1)}
 	now := time.Now()
 	l.mu.Lock()
@@ -185,7 +199,7 @@
 		return
 	}
 	delete(l.uses, c)
-	ending := pool.Ending{Clean: clean && c.Err() == nil && !l.closed, Altered: c.Altered}
+	ending := pool.Ending{Clean: clean && c.IsQuiet() && !l.closed, Altered: c.Altered}
 	actions := l.connections.Release(now, u.connection, ending)
 	if len(actions) == 1 && actions[0].Do == pool.DoReset {
 		go l.reset(u, c)
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -16,21 +16,26 @@
 	queueRefusals  metrics.Counter
 	readsMoved     metrics.Counter
 	slotsBorrowed  metrics.Counter
+	failovers      metrics.Counter
+	// connectionsDirty counts connections on which something unasked came in.
+	connectionsDirty metrics.Counter
 }
 
 func newCounts(r metrics.Registry) counts {
 	return counts{
-		sessions:       metrics.NewRegisteredCounter("sessions", r),
-		statements:     metrics.NewRegisteredCounter("statements", r),
-		refusals:       metrics.NewRegisteredCounter("refusals", r),
-		unknown:        metrics.NewRegisteredCounter("unknown", r),
-		readsOnReplica: metrics.NewRegisteredCounter("reads_on_replica", r),
-		readsOnPrimary: metrics.NewRegisteredCounter("reads_on_primary", r),
-		readRetries:    metrics.NewRegisteredCounter("read_retries", r),
-		readWaits:      metrics.NewRegisteredCounter("read_waits", r),
-		samples:        metrics.NewRegisteredCounter("samples", r),
-		queueRefusals:  metrics.NewRegisteredCounter("queue_refusals", r),
-		readsMoved:     metrics.NewRegisteredCounter("reads_moved", r),
-		slotsBorrowed:  metrics.NewRegisteredCounter("slots_borrowed", r),
+		sessions:         metrics.NewRegisteredCounter("sessions", r),
+		statements:       metrics.NewRegisteredCounter("statements", r),
+		refusals:         metrics.NewRegisteredCounter("refusals", r),
+		unknown:          metrics.NewRegisteredCounter("unknown", r),
+		readsOnReplica:   metrics.NewRegisteredCounter("reads_on_replica", r),
+		readsOnPrimary:   metrics.NewRegisteredCounter("reads_on_primary", r),
+		readRetries:      metrics.NewRegisteredCounter("read_retries", r),
+		readWaits:        metrics.NewRegisteredCounter("read_waits", r),
+		connectionsDirty: metrics.NewRegisteredCounter("connections_dirty", r),
+		failovers:        metrics.NewRegisteredCounter("failovers", r),
+		samples:          metrics.NewRegisteredCounter("samples", r),
+		queueRefusals:    metrics.NewRegisteredCounter("queue_refusals", r),
+		readsMoved:       metrics.NewRegisteredCounter("reads_moved", r),
+		slotsBorrowed:    metrics.NewRegisteredCounter("slots_borrowed", r),
 	}
 }
--- a/instance/pool.go
+++ b/instance/pool.go
@@ -72,6 +72,7 @@
 	var s *endpoint.ServerError
 	tooMany := errors.As(err, &s) && s.State == stateTooManyConnections
 	l.connections.OpenFailed(now, n, tooMany)
+	go l.evidence(err)
 	if len(l.conns) > 0 {
 		return
 	}
--- a/standin/rig/rig.go
+++ b/standin/rig/rig.go
@@ -39,6 +39,8 @@
 	Sessions map[string]*pgx.Conn
 	// Config is the configuration that instances start with.
 	Config patch.Config
+	// Limits replace those of Config that are above zero; it is read by Start.
+	Limits patch.Limits
 
 	t         testing.TB
 	endpoints map[string]*process
@@ -140,6 +142,9 @@
 		},
 		Limits: patch.Limits{Deadline: patch.Duration(Patience), TransactionIdle: patch.Duration(Patience), Queue: 100},
 	}
+	if r.Limits.TransactionIdle > 0 {
+		r.Config.Limits.TransactionIdle = r.Limits.TransactionIdle
+	}
 	for i := range instances {
 		r.StartInstance(fmt.Sprintf("i%d", i+1))
 	}
