--- a/core/admit/sharing.go
+++ b/core/admit/sharing.go
@@ -86,7 +86,7 @@
 func (s *Sharing) SetMembers(now time.Time, members []core.Instance) Output {
 	s.members = members
 	s.lender.SetMembers(now, members)
-	s.owners = Owners(s.endpoint, s.slots, members, s.self)
+	s.owners = Others(Assign(s.endpoint, s.slots, members), s.self)
 	return s.settle(now, Output{})
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -236,7 +236,8 @@
 // expire doubts or closes connections whose answer is late.
 func (p *Pool) expire(now time.Time) []Action {
 	var out []Action
-	for _, c := range slices.Clone(p.connections) {
+	for i := len(p.connections) - 1; i >= 0; i-- {
+		c := p.connections[i]
 		if c.due.IsZero() || now.Before(c.due) {
 			continue
 		}
@@ -313,7 +314,8 @@
 // shed closes connections that have long been idle.
 func (p *Pool) shed(now time.Time) []Action {
 	out := p.trim(now)
-	for _, c := range slices.Clone(p.connections) {
+	for i := len(p.connections) - 1; i >= 0; i-- {
+		c := p.connections[i]
 		if c.state == StateIdle && now.Sub(c.since) > p.idle && len(p.connections) > spareConnections {
 			out = append(out, p.close(c)...)
 		}
--- a/instance/gate.go
+++ b/instance/gate.go
@@ -53,12 +53,12 @@
 	}
 	c := w.held
 	if c == nil {
-		c = l.conns[w.use.connection]
-		l.uses[c] = w.use
+		c = w.link.conn
+		l.uses[c] = w.link
 	}
 	u := l.uses[c]
-	u.request, u.work, u.started = a.ID, w.work, now
-	l.connections.Expect(now, u.connection, w.work, now.Add(l.patience()))
+	u.request = a.ID
+	l.connections.Expect(now, u.number, w.work, now.Add(l.patience()))
 	w.verdict <- verdict{conn: c}
 }
 
--- a/instance/held.go
+++ b/instance/held.go
@@ -43,11 +43,11 @@
 		return s.lostHeld(x)
 	}
 	status, err := h.conn.ReceiveStatus()
-	if err != nil && !isRefusal(err) {
+	if err != nil && !isAborted(o, err) {
 		return s.lostHeld(x)
 	}
 	reusable := s.finish()
-	if o.failure == stateReadOnly && !isPrimary(status, h.term) {
+	if o.failure == stateReadOnly && s.group.State().Term > h.term {
 		x.retract()
 		return transactionLost()
 	}
--- a/instance/lending.go
+++ b/instance/lending.go
@@ -10,9 +10,6 @@
 	"anviltack/core/admit"
 )
 
-// lendSockets is how many idle sockets are kept to each instance for lending.
-const lendSockets = 64
-
 // lendTimeout bounds each call; an ask is held for less.
 const lendTimeout = 2 * time.Second
 
--- a/instance/links.go
+++ b/instance/links.go
@@ -41,9 +41,9 @@
 	// waiters are the statements without a verdict, by request.
 	waiters map[uint64]*waiter
 	// conns are the open connections by their number in the pool.
-	conns map[uint64]*endpoint.Conn
+	conns map[uint64]*link
 	// uses are the connections in use.
-	uses map[*endpoint.Conn]*use
+	uses map[*endpoint.Conn]*link
 	// asks are the asks of other instances that are held here.
 	asks map[askKey]chan<- admit.Grant
 	// members and count are what sharing and connections were told last.
@@ -53,25 +53,27 @@
 	closed  bool
 }
 
-// use is one connection in use.
-type use struct {
-	// connection is the number in the pool.
-	connection uint64
+// link is one open connection.
+type link struct {
+	conn *endpoint.Conn
+	// number is the connection's number in the pool.
+	number uint64
 	// request is the statement that holds a slot, zero between the statements
-	// of a transaction.
+	// of a transaction and while the connection is idle.
 	request uint64
-	work    pool.Work
-	started time.Time
 }
 
 // waiter is one statement that waits to be started.
 type waiter struct {
 	admission
-	// use is set when the statement starts on a connection of its own.
-	use     *use
+	// link is set when the statement starts on a connection of its own.
+	link    *link
 	verdict chan verdict
 }
 
+// waiters are reused, because every statement needs one.
+var waiters = sync.Pool{New: func() any { return &waiter{verdict: make(chan verdict, 1)} }}
+
 // admission is a statement's request to run.
 type admission struct {
 	caller   core.Caller
@@ -91,10 +93,11 @@
 		instance:    in,
 		name:        name,
 		address:     e.Address,
+		evidence:    func(error) {},
 		connections: pool.New(e.Connections, pool.WithControl(controlConnections)),
 		waiters:     make(map[uint64]*waiter),
-		conns:       make(map[uint64]*endpoint.Conn),
-		uses:        make(map[*endpoint.Conn]*use),
+		conns:       make(map[uint64]*link),
+		uses:        make(map[*endpoint.Conn]*link),
 		asks:        make(map[askKey]chan<- admit.Grant),
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -125,44 +128,65 @@
 		if e != nil || a.held != nil || c.IsQuiet() {
 			return c, e
 		}
-		l.instance.counts.connectionsDirty.Inc(1)
+		l.instance.counts.linksSpoiled.Inc(1)
 		l.put(c, false)
 	}
 }
 
 func (l *links) admit(a admission) (*endpoint.Conn, *core.Error) {
-	w := &waiter{admission: a, verdict: make(chan verdict, 1)}
+	w := waiters.Get().(*waiter)
+	w.admission, w.link = a, nil
+	id, ok := l.arrive(w)
+	if !ok {
+		return nil, core.NewError(core.CodeNoConnection, "%s is no longer in use", l.name)
+	}
+	v := l.await(id, w)
+	waiters.Put(w)
+	return v.conn, v.err
+}
+
+// arrive hands a statement to the gate; it returns false when the endpoint is no
+// longer in use.
+func (l *links) arrive(w *waiter) (uint64, bool) {
 	now := time.Now()
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.closed {
-		l.mu.Unlock()
-		return nil, core.NewError(core.CodeNoConnection, "%s is no longer in use", l.name)
+		return 0, false
 	}
 	l.last++
-	id := l.last
-	l.waiters[id] = w
-	l.apply(now, l.sharing.Arrive(now, admit.Request{ID: id, Caller: a.caller, Deadline: a.deadline, Held: a.held != nil}))
-	l.mu.Unlock()
-	timer := time.NewTimer(time.Until(a.deadline))
+	l.waiters[l.last] = w
+	r := admit.Request{ID: l.last, Caller: w.caller, Deadline: w.deadline, Held: w.held != nil}
+	l.apply(now, l.sharing.Arrive(now, r))
+	return r.ID, true
+}
+
+// await returns the verdict on a statement, at its deadline at the latest.
+func (l *links) await(id uint64, w *waiter) verdict {
+	select {
+	case v := <-w.verdict:
+		return v
+	default:
+	}
+	timer := time.NewTimer(time.Until(w.deadline))
 	defer timer.Stop()
 	select {
 	case v := <-w.verdict:
-		return v.conn, v.err
+		return v
 	case <-timer.C:
 		return l.expired(id, w)
 	}
 }
 
 // expired takes back a statement whose deadline passed, unless it has just started.
-func (l *links) expired(id uint64, w *waiter) (*endpoint.Conn, *core.Error) {
+func (l *links) expired(id uint64, w *waiter) verdict {
 	l.mu.Lock()
 	if l.sharing.Cancel(time.Now(), id) {
 		delete(l.waiters, id)
 		w.verdict <- verdict{err: core.NewError(core.CodeOverloaded, "%s had no slot in time", l.name).WithRetry(doubtAfter)}
 	}
 	l.mu.Unlock()
-	v := <-w.verdict
-	return v.conn, v.err
+	return <-w.verdict
 }
 
 // connect takes a connection for a statement that is about to start; it is
@@ -173,7 +197,7 @@
 	if !ok {
 		return false
 	}
-	w.use = &use{connection: n, request: r.ID, work: w.work, started: now}
+	w.link = l.conns[n]
 	return true
 }
 
@@ -183,7 +207,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.uses[c]
-	l.connections.Expect(now, u.connection, pool.WorkTransaction, time.Time{})
+	l.connections.Expect(now, u.number, pool.WorkTransaction, time.Time{})
 	request := u.request
 	u.request = 0
 	l.apply(now, l.sharing.Finish(now, request))
@@ -200,13 +224,15 @@
 	}
 	delete(l.uses, c)
 	ending := pool.Ending{Clean: clean && c.IsQuiet() && !l.closed, Altered: c.Altered}
-	actions := l.connections.Release(now, u.connection, ending)
+	actions := l.connections.Release(now, u.number, ending)
 	if len(actions) == 1 && actions[0].Do == pool.DoReset {
-		go l.reset(u, c)
+		go l.reset(u)
 		return
 	}
+	request := u.request
+	u.request = 0
 	l.perform(actions)
-	l.apply(now, l.sharing.Finish(now, u.request))
+	l.apply(now, l.sharing.Finish(now, request))
 }
 
 // close closes the connections that are not in use; the others are closed when
@@ -217,7 +243,7 @@
 	l.closed = true
 	l.refuseWaiting(time.Now(), core.NewError(core.CodeNoConnection, "%s is no longer in use", l.name))
 	for n, c := range l.conns {
-		if l.uses[c] == nil {
+		if l.uses[c.conn] == nil {
 			l.drop(n)
 		}
 	}
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -13,29 +13,35 @@
 	readRetries    metrics.Counter
 	readWaits      metrics.Counter
 	samples        metrics.Counter
-	queueRefusals  metrics.Counter
-	readsMoved     metrics.Counter
-	slotsBorrowed  metrics.Counter
 	failovers      metrics.Counter
-	// connectionsDirty counts connections on which something unasked came in.
-	connectionsDirty metrics.Counter
+	// submissionRetries counts keyed submissions sent again after a lost answer.
+	submissionRetries metrics.Counter
+	// linksSpoiled counts connections dropped because something waited on them.
+	linksSpoiled metrics.Counter
+	// queueRefusals counts statements that had no slot or connection in time.
+	queueRefusals metrics.Counter
+	// readsMoved counts reads taken off connections without an answer.
+	readsMoved metrics.Counter
+	// slotsBorrowed counts slots that other instances lent.
+	slotsBorrowed metrics.Counter
 }
 
 func newCounts(r metrics.Registry) counts {
 	return counts{
-		sessions:         metrics.NewRegisteredCounter("sessions", r),
-		statements:       metrics.NewRegisteredCounter("statements", r),
-		refusals:         metrics.NewRegisteredCounter("refusals", r),
-		unknown:          metrics.NewRegisteredCounter("unknown", r),
-		readsOnReplica:   metrics.NewRegisteredCounter("reads_on_replica", r),
-		readsOnPrimary:   metrics.NewRegisteredCounter("reads_on_primary", r),
-		readRetries:      metrics.NewRegisteredCounter("read_retries", r),
-		readWaits:        metrics.NewRegisteredCounter("read_waits", r),
-		connectionsDirty: metrics.NewRegisteredCounter("connections_dirty", r),
-		failovers:        metrics.NewRegisteredCounter("failovers", r),
-		samples:          metrics.NewRegisteredCounter("samples", r),
-		queueRefusals:    metrics.NewRegisteredCounter("queue_refusals", r),
-		readsMoved:       metrics.NewRegisteredCounter("reads_moved", r),
-		slotsBorrowed:    metrics.NewRegisteredCounter("slots_borrowed", r),
+		sessions:          metrics.NewRegisteredCounter("sessions", r),
+		statements:        metrics.NewRegisteredCounter("statements", r),
+		refusals:          metrics.NewRegisteredCounter("refusals", r),
+		unknown:           metrics.NewRegisteredCounter("unknown", r),
+		readsOnReplica:    metrics.NewRegisteredCounter("reads_on_replica", r),
+		readsOnPrimary:    metrics.NewRegisteredCounter("reads_on_primary", r),
+		readRetries:       metrics.NewRegisteredCounter("read_retries", r),
+		readWaits:         metrics.NewRegisteredCounter("read_waits", r),
+		submissionRetries: metrics.NewRegisteredCounter("submission_retries", r),
+		linksSpoiled:      metrics.NewRegisteredCounter("links_spoiled", r),
+		queueRefusals:     metrics.NewRegisteredCounter("queue_refusals", r),
+		readsMoved:        metrics.NewRegisteredCounter("reads_moved", r),
+		slotsBorrowed:     metrics.NewRegisteredCounter("slots_borrowed", r),
+		failovers:         metrics.NewRegisteredCounter("failovers", r),
+		samples:           metrics.NewRegisteredCounter("samples", r),
 	}
 }
--- a/instance/pool.go
+++ b/instance/pool.go
@@ -20,15 +20,15 @@
 // perform carries out actions on connections; the lock is held.
 func (l *links) perform(actions []pool.Action) {
 	for _, a := range actions {
-		c := l.conns[a.Connection]
+		u := l.conns[a.Connection]
 		switch a.Do {
 		case pool.DoOpen:
 			go l.open(a.Connection)
 		case pool.DoTest:
-			go l.test(a.Connection, c)
+			go l.test(u)
 		case pool.DoMove:
 			l.instance.counts.readsMoved.Inc(1)
-			c.Interrupt()
+			u.conn.Interrupt()
 		case pool.DoClose:
 			l.drop(a.Connection)
 		case pool.DoReset:
@@ -39,9 +39,9 @@
 
 // drop closes a connection.
 func (l *links) drop(n uint64) {
-	if c := l.conns[n]; c != nil {
+	if u := l.conns[n]; u != nil {
 		delete(l.conns, n)
-		go c.Close()
+		go u.conn.Close()
 	}
 }
 
@@ -57,7 +57,7 @@
 		l.openFailed(now, n, err)
 		return
 	}
-	l.conns[n] = c
+	l.conns[n] = &link{conn: c, number: n}
 	actions := l.connections.Opened(now, n)
 	if l.closed {
 		actions = []pool.Action{{Do: pool.DoClose, Connection: n}}
@@ -84,27 +84,25 @@
 }
 
 // test asks an idle connection for the endpoint's status.
-func (l *links) test(n uint64, c *endpoint.Conn) {
-	_, err := c.Status(time.Now().Add(l.instance.settings.Answer))
-	l.tested(n, err == nil, nil)
+func (l *links) test(u *link) {
+	_, err := u.conn.Status(time.Now().Add(l.instance.settings.Answer))
+	l.tested(u, err == nil)
 }
 
 // reset discards the session state of a connection; the statement that left it
 // holds its slot until then.
-func (l *links) reset(u *use, c *endpoint.Conn) {
-	err := c.Reset(time.Now().Add(l.instance.settings.Answer))
-	l.tested(u.connection, err == nil, u)
+func (l *links) reset(u *link) {
+	err := u.conn.Reset(time.Now().Add(l.instance.settings.Answer))
+	l.tested(u, err == nil)
 }
 
-// tested takes in the result of a test, or of a reset for a use.
-func (l *links) tested(n uint64, ok bool, u *use) {
+// tested takes in the result of a test or a reset.
+func (l *links) tested(u *link, ok bool) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.perform(l.connections.Tested(now, n, ok && !l.closed))
-	if u != nil {
-		l.apply(now, l.sharing.Finish(now, u.request))
-		return
-	}
-	l.apply(now, l.sharing.Tick(now))
+	request := u.request
+	u.request = 0
+	l.perform(l.connections.Tested(now, u.number, ok && !l.closed))
+	l.apply(now, l.sharing.Finish(now, request))
 }
--- a/instance/read.go
+++ b/instance/read.go
@@ -164,8 +164,8 @@
 // transaction is rolled back, so that a setting does not outlive it.
 func (w *work) read(sentAt time.Time) (outcome, core.Status, error) {
 	w.x.readOnly(w.unit)
-	w.x.query(endpoint.StatusStatement)
-	w.x.query(rollbackStatement)
+	w.conn.SendEncoded(statusMessage)
+	w.conn.SendEncoded(rollbackMessage)
 	if err := w.conn.Flush(); err != nil {
 		return outcome{}, core.Status{}, err
 	}
@@ -174,10 +174,13 @@
 		return o, core.Status{}, err
 	}
 	status, err := w.status(sentAt)
-	if err != nil {
+	if err != nil && !isAborted(o, err) {
 		return o, status, err
 	}
-	_, err = w.x.skip()
+	end, err := w.x.skip()
+	if err == nil && end.tag != rollbackTag {
+		err = endpoint.ErrShape
+	}
 	return o, status, err
 }
 
--- a/instance/session.go
+++ b/instance/session.go
@@ -95,6 +95,9 @@
 		return nil, draining()
 	}
 	view := in.View()
+	if view.Version == 0 {
+		return nil, core.NewError(core.CodeNoGroup, "no configuration is in force yet").WithRetry(connectPause)
+	}
 	known := view.Config.Callers[login.Caller]
 	if err := conn.Authenticate(known.Secret); err != nil {
 		return nil, err
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -40,7 +40,8 @@
 	// out holds encoded messages that were not sent yet.
 	out []byte
 	// key lets Cancel name this connection.
-	key pgproto3.BackendKeyData
+	key   pgproto3.BackendKeyData
+	quiet *quiet
 	// broken is the first failure of the connection, or nil.
 	broken error
 }
@@ -69,6 +70,7 @@
 		Address:  address,
 		Named:    make(map[string]struct{}),
 		conn:     nc,
+		quiet:    newQuiet(nc),
 		frontend: pgproto3.NewFrontend(nc, nc),
 	}
 	c.frontend.SetMaxBodyLen(maxAnswerBytes)
--- a/io/endpoint/quiet.go
+++ b/io/endpoint/quiet.go
@@ -2,29 +2,44 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 )
 
-// IsQuiet reports whether nothing came in that was not asked for: neither a late
-// or crossed answer nor the end of the connection. It is for a connection with
-// no answer outstanding and does not wait.
+// quiet looks for bytes that wait on a connection without reading them.
+type quiet struct {
+	raw syscall.RawConn
+	// peek is kept because every statement looks.
+	peek   func(fd uintptr)
+	buffer [1]byte
+	result bool
+}
+
+func newQuiet(c net.Conn) *quiet {
+	q := &quiet{}
+	q.peek = func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), q.buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		q.result = errors.Is(err, syscall.EAGAIN)
+	}
+	if socket, ok := c.(syscall.Conn); ok {
+		if raw, err := socket.SyscallConn(); err == nil {
+			q.raw = raw
+		}
+	}
+	return q
+}
+
+// IsQuiet reports whether nothing waits to be read on a connection that is not
+// in use: no answer of an earlier statement, no answer that belongs to another
+// connection, and no end of the connection.
 func (c *Conn) IsQuiet() bool {
 	if c.broken != nil || c.frontend.ReadBufferLen() > 0 {
 		return false
 	}
-	raw, ok := c.conn.(syscall.Conn)
-	if !ok {
+	if c.quiet.raw == nil {
 		return true
 	}
-	socket, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	var peek [1]byte
-	err = socket.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && quiet
+	c.quiet.result = false
+	err := c.quiet.raw.Control(c.quiet.peek)
+	return err == nil && c.quiet.result
 }
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -11,13 +11,14 @@
 	"github.com/twitchtv/twirp"
 
 	"anviltack/core/member"
+	"anviltack/io/bearer"
 	"anviltack/io/peer/wire"
 )
 
 // The defaults of a client.
 const (
 	defaultTimeout = time.Second
-	maxIdleSockets = 2
+	maxIdleSockets = 64
 )
 
 // Client calls other instances.
@@ -29,20 +30,15 @@
 // Option changes a default of a client.
 type Option func(*Client)
 
-// WithSockets sets how many idle sockets are kept to each peer.
-func WithSockets(n int) Option {
-	return func(c *Client) { c.http.Transport.(*http.Transport).MaxIdleConnsPerHost = n }
-}
-
 // WithTimeout bounds each call.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
-// NewClient returns a client for any number of peers.
-func NewClient(options ...Option) *Client {
+// NewClient returns a client for any number of peers that shows them the token.
+func NewClient(token string, options ...Option) *Client {
 	c := &Client{
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: &bearer.Transport{Token: token, Next: &http.Transport{
 			MaxIdleConnsPerHost: maxIdleSockets, IdleConnTimeout: time.Minute, DisableCompression: true,
-		}},
+		}}},
 		timeout: defaultTimeout,
 	}
 	for _, o := range options {
--- a/standin/rig/rig.go
+++ b/standin/rig/rig.go
@@ -30,6 +30,9 @@
 // Patience bounds every wait; no script depends on its length.
 const Patience = 20 * time.Second
 
+// probe is the name of the session that finds out whether an instance is ready.
+const probe = "probe"
+
 // Password is the password of every caller.
 const Password = "secret"
 
@@ -164,7 +167,9 @@
 	in := instance.New(s, instance.WithLog(log), instance.WithWatch(r.watch))
 	r.instances[name] = p
 	r.spawn(p, in.Serve)
-	r.Until("instance "+name+" listens", func() bool { return canDial(p.address) })
+	r.Until("instance "+name+" takes callers", func() bool { return r.Connect(probe, "valuer", name, nil) == nil })
+	_ = r.Sessions[probe].Close(context.Background())
+	delete(r.Sessions, probe)
 }
 
 func (r *Rig) watch(ctx context.Context, after uint64) (uint64, *patch.Config, error) {
@@ -175,15 +180,6 @@
 	return 0, nil, ctx.Err()
 }
 
-func canDial(a netip.AddrPort) bool {
-	c, err := net.Dial("tcp", a.String())
-	if err != nil {
-		return false
-	}
-	_ = c.Close()
-	return true
-}
-
 // Until waits for a condition.
 func (r *Rig) Until(what string, met func() bool) {
 	r.t.Helper()
