--- a/core/admit/estimate.go
+++ b/core/admit/estimate.go
@@ -41,7 +41,8 @@
 
 // drain measures how much work leaves the queue for each second in which
 // something waits. Unlike the number of slots it tells the capacity that is
-// really to be had while slots are lent to and fro.
+// really to be had while slots are lent to and fro. Half of what it knows is
+// forgotten when the queue has emptied, so that an overload is soon forgotten.
 type drain struct {
 	starts  float64
 	work    float64
@@ -51,6 +52,7 @@
 }
 
 func (d *drain) advance(now time.Time, waiting bool) {
+	ended := !d.since.IsZero() && !waiting
 	if !d.since.IsZero() {
 		d.backlog += max(0, now.Sub(d.since).Seconds())
 	}
@@ -58,7 +60,7 @@
 	if waiting {
 		d.since = now
 	}
-	if d.backlog > drainWindow {
+	if ended || d.backlog > drainWindow {
 		d.starts, d.work, d.backlog = d.starts/2, d.work/2, d.backlog/2
 	}
 }
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -9,11 +9,13 @@
 	"anviltack/core"
 )
 
+// DefaultQueue bounds the queue of a gate when nothing else is stated.
+const DefaultQueue = 256
+
 const (
-	defaultQueue = 256
-	sweepPeriod  = 5 * time.Millisecond
-	minRetry     = 20 * time.Millisecond
-	maxRetry     = 5 * time.Second
+	sweepPeriod = 5 * time.Millisecond
+	minRetry    = 20 * time.Millisecond
+	maxRetry    = 5 * time.Second
 )
 
 // Request is one statement that asks to run.
@@ -56,6 +58,8 @@
 	// service is the service time over all callers.
 	service estimate
 	swept   time.Time
+	// started is the answer to a request that starts on arrival.
+	started [1]Action
 }
 
 // work is one running request.
@@ -85,7 +89,7 @@
 		slots:   slots,
 		connect: func(time.Time, Request) bool { return true },
 		random:  random,
-		limit:   defaultQueue,
+		limit:   DefaultQueue,
 		running: map[uint64]work{},
 	}
 	for _, o := range options {
@@ -105,7 +109,8 @@
 // Waiting returns how many requests wait.
 func (g *Gate) Waiting() int { return g.queued }
 
-// Arrive takes a new request. The request waits when no action names it.
+// Arrive takes a new request. The request waits when no action names it. The
+// actions are valid until the next call.
 func (g *Gate) Arrive(now time.Time, r Request) []Action {
 	s := g.share(now, r.Caller)
 	if !r.Deadline.After(now) {
@@ -114,11 +119,12 @@
 	if g.queued == 0 && len(g.running) < g.slots(now) && !g.isHeldBack(now, s) && (r.Held || g.connect(now, r)) {
 		g.drain.advance(now, false)
 		g.start(now, s, r.ID)
-		return []Action{{ID: r.ID}}
+		g.started[0] = Action{ID: r.ID}
+		return g.started[:]
 	}
-	at := s.position(r.Deadline)
+	at := s.position(r)
 	wait := g.wait(now, s, at)
-	if now.Add(wait + s.need(now, r)).After(r.Deadline) {
+	if isHopeless(now, wait+s.need(now, r), r.Deadline) {
 		return []Action{g.refuse(s, r, g.codeFor(s), "the queue is too long for the deadline", wait)}
 	}
 	var out []Action
@@ -178,7 +184,7 @@
 		for i := 0; i < len(s.queue); {
 			r := s.queue[i].Request
 			wait := g.wait(now, s, i)
-			if !now.Add(wait + s.need(s.queue[i].arrived, r)).After(r.Deadline) {
+			if !isHopeless(now, wait+s.need(s.queue[i].arrived, r), r.Deadline) {
 				i++
 				continue
 			}
@@ -201,13 +207,13 @@
 	var out []Action
 	onlyHeld := false
 	for g.queued > 0 && len(g.running) < g.slots(now) {
-		s, i := g.pick(now, onlyHeld)
+		s := g.pick(now, onlyHeld)
 		if s == nil {
 			break
 		}
-		q := s.queue[i]
-		if now.Add(s.need(q.arrived, q.Request)).After(q.Deadline) {
-			g.drop(s, i)
+		q := s.queue[0]
+		if isHopeless(now, s.need(q.arrived, q.Request), q.Deadline) {
+			g.drop(s, 0)
 			out = append(out, g.refuse(s, q.Request, g.codeFor(s), "its turn came too late for the deadline", 0))
 			continue
 		}
@@ -215,7 +221,7 @@
 			onlyHeld = true
 			continue
 		}
-		g.drop(s, i)
+		g.drop(s, 0)
 		g.drain.start(s.service.expected())
 		g.start(now, s, q.ID)
 		out = append(out, Action{ID: q.ID})
@@ -233,6 +239,11 @@
 	g.running[id] = work{share: s, started: now, charged: charge}
 }
 
+// isHopeless reports whether an answer that takes so long comes too late.
+func isHopeless(now time.Time, takes time.Duration, deadline time.Time) bool {
+	return !now.Before(deadline) || now.Add(takes).After(deadline)
+}
+
 func (g *Gate) drop(s *share, i int) {
 	s.queue = append(s.queue[:i], s.queue[i+1:]...)
 	g.queued--
--- a/core/admit/owner.go
+++ b/core/admit/owner.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 
@@ -9,27 +10,49 @@
 	"anviltack/core"
 )
 
-// Owner returns the instance that owns a slot of an endpoint: the one with the
-// highest rendezvous hash, so that a change of members moves only the slots of
-// the instances that came or went. It is empty without members.
-func Owner(e core.Endpoint, slot int, members []core.Instance) core.Instance {
-	var best core.Instance
-	var highest uint64
-	for _, m := range members {
-		h := xxhash.Sum64String(string(e) + "/" + strconv.Itoa(slot) + "/" + string(m))
-		if best == "" || h > highest || h == highest && m < best {
-			best, highest = m, h
+// pair is one slot with one instance that might own it.
+type pair struct {
+	slot   int
+	member core.Instance
+	weight uint64
+}
+
+// Assign returns the owner of each slot of an endpoint by rendezvous hashing with
+// bounded loads: slots and members are paired in the order of their weights, and
+// no member owns more than its even share rounded up. Losing a member therefore
+// never takes more slots than that with it, and moves few others. The result is
+// empty without members.
+func Assign(e core.Endpoint, slots int, members []core.Instance) []core.Instance {
+	if len(members) == 0 {
+		return nil
+	}
+	pairs := make([]pair, 0, slots*len(members))
+	for s := range slots {
+		for _, m := range members {
+			h := xxhash.Sum64String(string(e) + "/" + strconv.Itoa(s) + "/" + string(m))
+			pairs = append(pairs, pair{slot: s, member: m, weight: h})
+		}
+	}
+	slices.SortFunc(pairs, func(a, b pair) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.member, b.member), cmp.Compare(a.slot, b.slot))
+	})
+	owners := make([]core.Instance, slots)
+	load := make(map[core.Instance]int, len(members))
+	most := (slots + len(members) - 1) / len(members)
+	for _, p := range pairs {
+		if owners[p.slot] == "" && load[p.member] < most {
+			owners[p.slot] = p.member
+			load[p.member]++
 		}
 	}
-	return best
+	return owners
 }
 
-// Owners returns each owner of a slot of the endpoint other than self.
-func Owners(e core.Endpoint, slots int, members []core.Instance, self core.Instance) []core.Instance {
+// Others returns each owner other than self, once.
+func Others(owners []core.Instance, self core.Instance) []core.Instance {
 	var out []core.Instance
-	for i := range slots {
-		o := Owner(e, i, members)
-		if o != "" && o != self && !slices.Contains(out, o) {
+	for _, o := range owners {
+		if o != self && !slices.Contains(out, o) {
 			out = append(out, o)
 		}
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -49,6 +49,12 @@
 	return func(p *Pool) { p.share.settle = d }
 }
 
+// WithControl keeps n connections of the instance's part out of the pool, for
+// requests that are not callers'.
+func WithControl(n int) Option {
+	return func(p *Pool) { p.share.control = n }
+}
+
 // New returns an empty pool for an endpoint that accepts most connections from
 // all instances together.
 func New(most int, options ...Option) *Pool {
@@ -70,6 +76,15 @@
 	return p.trim(now)
 }
 
+// Resize takes the number of connections that the endpoint accepts.
+func (p *Pool) Resize(now time.Time, most, live int) []Action {
+	if most == p.share.most {
+		return nil
+	}
+	p.share.most = most
+	return p.SetMembers(now, live)
+}
+
 // Acquire returns an idle connection that is fit for work, marked busy.
 func (p *Pool) Acquire(now time.Time, w Work) (uint64, bool) {
 	for i := len(p.connections) - 1; i >= 0; i-- {
@@ -221,7 +236,8 @@
 // expire doubts or closes connections whose answer is late.
 func (p *Pool) expire(now time.Time) []Action {
 	var out []Action
-	for _, c := range slices.Clone(p.connections) {
+	for i := len(p.connections) - 1; i >= 0; i-- {
+		c := p.connections[i]
 		if c.due.IsZero() || now.Before(c.due) {
 			continue
 		}
@@ -298,7 +314,8 @@
 // shed closes connections that have long been idle.
 func (p *Pool) shed(now time.Time) []Action {
 	out := p.trim(now)
-	for _, c := range slices.Clone(p.connections) {
+	for i := len(p.connections) - 1; i >= 0; i-- {
+		c := p.connections[i]
 		if c.state == StateIdle && now.Sub(c.since) > p.idle && len(p.connections) > spareConnections {
 			out = append(out, p.close(c)...)
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -37,8 +37,10 @@
 	platform   platform.Platform
 	list       platform.List
 	peers      *peer.Client
-	fleet      atomic.Pointer[fleetView]
-	drainer    drainer
+	// lenders carries asks for slots, which may wait at their owner.
+	lenders *peer.Client
+	fleet   atomic.Pointer[fleetView]
+	drainer drainer
 	// listed is held while this instance's entry on the platform's list changes.
 	listed  sync.Mutex
 	started time.Time
@@ -77,6 +79,7 @@
 		sessions:   newSessions(),
 		configured: make(chan struct{}),
 		peers:      peer.NewClient(peerToken(s)),
+		lenders:    peer.NewClient(peerToken(s), peer.WithTimeout(lendTimeout)),
 		started:    time.Now(),
 		spreads:    make(chan spread, spreadQueue),
 		pulls:      make(chan netip.AddrPort, pullQueue),
@@ -102,6 +105,7 @@
 	root.Add(in.control)
 	root.Add(&listener{instance: in})
 	in.addFleet(root)
+	root.Add(&keeper{instance: in})
 	root.Add(&in.drainer)
 	in.event(core.EventStarted).WithField("callers", in.settings.Callers).Info("started")
 	err := root.Serve(ctx)
--- a/process/site_test.go
+++ b/process/site_test.go
@@ -60,6 +60,8 @@
 	controls  map[core.Endpoint]netip.AddrPort
 	instances map[string]*instance
 	version   uint64
+	// connections is how many connections each endpoint accepts.
+	connections int
 }
 
 // instance is one process.
@@ -80,7 +82,7 @@
 		t: t, platform: freeAddress(t), control: freeAddress(t),
 		endpoints: make(map[core.Endpoint]patch.Endpoint),
 		controls:  make(map[core.Endpoint]netip.AddrPort),
-		instances: make(map[string]*instance),
+		instances: make(map[string]*instance), connections: 40,
 	}
 	s.run(platform.New(s.platform, s.control).Run)
 	return s
@@ -101,10 +103,10 @@
 }
 
 // startEndpoints runs three endpoints, e1 as primary.
-func (s *site) startEndpoints() {
+func (s *site) startEndpoints(more ...endpoint.Option) {
 	names := []core.Endpoint{"e1", "e2", "e3"}
 	for _, n := range names {
-		s.endpoints[n] = patch.Endpoint{Address: freeAddress(s.t), DataCentre: "a", Slots: 3, Connections: 40}
+		s.endpoints[n] = patch.Endpoint{Address: freeAddress(s.t), DataCentre: "a", Slots: 3, Connections: s.connections}
 		s.controls[n] = freeAddress(s.t)
 	}
 	for i, n := range names {
@@ -114,7 +116,7 @@
 				peers = append(peers, s.controls[other])
 			}
 		}
-		options := []endpoint.Option{endpoint.WithPeers(peers...), endpoint.WithConnections(40)}
+		options := append([]endpoint.Option{endpoint.WithPeers(peers...), endpoint.WithConnections(s.connections)}, more...)
 		if i == 0 {
 			options = append(options, endpoint.WithPrimary())
 		}
