Give links a default for what failures show

The merged tests of reads build links by hand, without a group that takes in evidence, and dial met a nil function. newLinks sets one that does nothing.

--- a/instance/links.go
+++ b/instance/links.go
@@ -35,7 +35,10 @@
 
 func newLinks(in *Instance, name core.Endpoint, e patch.Endpoint) *links {
 	share := max(e.Connections/assumedInstances-1, 1)
-	l := &links{instance: in, name: name, address: e.Address, tokens: make(chan struct{}, share)}
+	l := &links{
+		instance: in, name: name, address: e.Address,
+		evidence: func(error) {}, tokens: make(chan struct{}, share),
+	}
 	for range share {
 		l.tokens <- struct{}{}
 	}
