Strike pairs of faults and submit again under load

Acknowledged and refused writes were compared with the final rows only for single faults and without submission keys. Half of the callers now submit under a key and send an unknown outcome again with another row; at most one row of a submission may exist, and exactly one once a caller was told that it ran.

Added faults: killed with the platform down, killed with an instance stopped by SIGSTOP, restarted as a replica.

--- a/process/failover_test.go
+++ b/process/failover_test.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,14 +52,19 @@
 	running   sync.WaitGroup
 }
 
-// write is one submission and what its caller was told.
+// write is one write and what its caller was told.
 type write struct {
-	key       string
-	begun     time.Time
-	ended     time.Time
-	succeeded bool
+	key string
+	// submission is the key under which the write was submitted, perhaps after
+	// others with an unknown outcome; empty for none.
+	submission string
+	begun      time.Time
+	ended      time.Time
+	succeeded  bool
 	// notRun tells that the caller was told that nothing ran.
 	notRun bool
+	// ranBefore tells that the caller was told that its submission ran before.
+	ranBefore bool
 }
 
 func newOutage(t testing.TB, instances int) *outage {
@@ -121,14 +127,16 @@
 	o.stop = stop
 	for name, p := range o.instances {
 		for i := range writersEach {
-			o.running.Go(func() { o.writer(ctx, p.callers, fmt.Sprint(name, "-", i)) })
+			o.running.Go(func() { o.writer(ctx, p.callers, fmt.Sprint(name, "-", i), i%2 == 0) })
 		}
 	}
 }
 
-func (o *outage) writer(ctx context.Context, address netip.AddrPort, name string) {
+// writer writes one row after the other. A writer with submissions sends one
+// whose outcome is unknown again, under the same key with another row.
+func (o *outage) writer(ctx context.Context, address netip.AddrPort, name string, submits bool) {
 	var conn *pgx.Conn
-	for n := 0; ctx.Err() == nil; n++ {
+	for n, try := 0, 0; ctx.Err() == nil; {
 		if conn == nil || conn.IsClosed() {
 			var err error
 			conn, err = pgx.Connect(ctx, fmt.Sprintf("postgres://valuer:%s@%s/index?sslmode=disable&default_query_exec_mode=simple_protocol", password, address))
@@ -137,16 +145,18 @@
 				continue
 			}
 		}
-		w := write{key: fmt.Sprint(name, "-", n), begun: time.Now()}
-		sql := fmt.Sprintf("INSERT INTO item (key, value) VALUES ('%s', 'x') /*deadline='%s'*/", w.key, writeDeadline)
-		_, err := conn.Exec(context.Background(), sql)
-		w.ended = time.Now()
-		var refused *pgconn.PgError
-		w.succeeded = err == nil
-		w.notRun = errors.As(err, &refused) && strings.HasPrefix(refused.Message, "AT2")
+		w := write{key: fmt.Sprint(name, "-", n, "-", try)}
+		if submits {
+			w.submission = fmt.Sprint(name, "-", n)
+		}
+		w.run(conn)
 		o.mu.Lock()
 		o.writes = append(o.writes, w)
 		o.mu.Unlock()
+		try++
+		if !submits || w.succeeded || w.ranBefore {
+			n, try = n+1, 0
+		}
 		time.Sleep(3 * time.Millisecond)
 	}
 	if conn != nil {
@@ -154,6 +164,23 @@
 	}
 }
 
+// run sends the write and notes what came of it.
+func (w *write) run(conn *pgx.Conn) {
+	comment := fmt.Sprintf("deadline='%s'", writeDeadline)
+	if w.submission != "" {
+		comment += fmt.Sprintf(",submission='%s'", w.submission)
+	}
+	w.begun = time.Now()
+	_, err := conn.Exec(context.Background(), fmt.Sprintf("INSERT INTO item (key, value) VALUES ('%s', 'x') /*%s*/", w.key, comment))
+	w.ended = time.Now()
+	var refused *pgconn.PgError
+	w.succeeded = err == nil
+	if errors.As(err, &refused) {
+		w.notRun = strings.HasPrefix(refused.Message, "AT2")
+		w.ranBefore = strings.HasPrefix(refused.Message, "AT1001")
+	}
+}
+
 // put sets faults of an endpoint.
 func (o *outage) put(n core.Endpoint, body string) {
 	r, err := http.NewRequest(http.MethodPut, "http://"+o.controls[n].String()+"/fault", bytes.NewReader([]byte(body)))
@@ -177,6 +204,14 @@
 		o.put("e1", `{"freeze":true}`)
 	case "half cut":
 		o.put("e1", `{"cut_all":true}`)
+	case "killed with the platform down":
+		o.fault(`{"down":true}`)
+		_ = o.processes["e1"].Process.Kill()
+	case "killed with an instance paused":
+		_ = o.instances["i0"].command.Process.Signal(syscall.SIGSTOP)
+		_ = o.processes["e1"].Process.Kill()
+	case "restarted":
+		o.put("e1", `{"restart":true}`)
 	}
 }
 
@@ -194,9 +229,9 @@
 	return gap
 }
 
-// isReplaced reports whether another endpoint is the primary of a later term.
+// isReplaced reports whether there is a primary of a later term.
 func (o *outage) isReplaced() bool {
-	for _, n := range []core.Endpoint{"e2", "e3"} {
+	for _, n := range []core.Endpoint{"e1", "e2", "e3"} {
 		if s, err := o.rowsOf(n); err == nil && s.Status.Role == core.RolePrimary && s.Status.Term > 1 {
 			return true
 		}
@@ -223,8 +258,14 @@
 			last = rows
 		}
 	}
+	rows := make(map[string]int)
+	ran := make(map[string]bool)
 	for _, w := range o.writes {
 		_, found := last.Rows[w.key]
+		if found && w.submission != "" {
+			rows[w.submission]++
+		}
+		ran[w.submission] = ran[w.submission] || w.ranBefore
 		switch {
 		case w.succeeded && !found:
 			o.t.Errorf("acknowledged write %s is lost", w.key)
@@ -240,6 +281,16 @@
 			unknown++
 		}
 	}
+	for submission, n := range rows {
+		if n > 1 {
+			o.t.Errorf("submission %s ran %d times", submission, n)
+		}
+	}
+	for submission, before := range ran {
+		if before && rows[submission] != 1 {
+			o.t.Errorf("submission %s is said to have run, and is lost", submission)
+		}
+	}
 	return acknowledged, refused, unknown
 }
 
@@ -252,8 +303,11 @@
 	o.strike(fault)
 	struck := time.Now()
 	o.until("writes after the fault", func() bool { return o.isReplaced() && o.gap(struck) > 0 })
-	if fault == "frozen" {
+	switch fault {
+	case "frozen":
 		o.put("e1", `{"freeze":false}`)
+	case "killed with an instance paused":
+		_ = o.instances["i0"].command.Process.Signal(syscall.SIGCONT)
 	}
 	time.Sleep(300 * time.Millisecond)
 	o.stop()
@@ -262,7 +316,9 @@
 }
 
 func TestFailoverKeepsWrites(t *testing.T) {
-	for _, fault := range []string{"killed", "frozen", "half cut"} {
+	for _, fault := range []string{
+		"killed", "frozen", "half cut", "killed with the platform down", "killed with an instance paused", "restarted",
+	} {
 		t.Run(fault, func(t *testing.T) {
 			is := is.New(t)
 			o, _ := trial(t, fault)
@@ -276,7 +332,7 @@
 // BenchmarkFailover prints the failover gap as callers see it, and its parts as
 // the instance that ran the failover logs them.
 func BenchmarkFailover(b *testing.B) {
-	for _, fault := range []string{"killed", "frozen", "half cut"} {
+	for _, fault := range []string{"killed", "frozen", "half cut", "restarted", "killed with an instance paused"} {
 		b.Run(fault, func(b *testing.B) {
 			for b.Loop() {
 				measureFailover(b, fault)
