--- a/instance/failover.go
+++ b/instance/failover.go
@@ -11,10 +11,6 @@
 	"anviltack/io/peer"
 )
 
-// rankPeriod is the least time between two looks at the rank for a group's
-// failover; it is looked at only while the group takes no writes.
-const rankPeriod = 50 * time.Millisecond
-
 // opinionLimit bounds one question to a peer about a primary.
 const opinionLimit = 200 * time.Millisecond
 
@@ -29,7 +25,8 @@
 		g.waiting = n > 0
 		g.carryOut(now, g.machine.Waiting(now, n))
 	}
-	if !g.shown.availability.IsOpen() && now.Sub(g.rankedAt) > rankPeriod {
+	if epoch := g.control.fleet.epoch; !g.shown.availability.IsOpen() && g.epoch != epoch {
+		g.epoch = epoch
 		g.rank(now)
 	}
 	g.carryOut(now, event(now))
@@ -96,9 +93,9 @@
 	return rank, others
 }
 
-// rank brings the machine's rank up to date with the fleet.
+// rank brings the machine's rank up to date with the fleet. It matters only while
+// the group takes no writes.
 func (g *groupControl) rank(now time.Time) {
-	g.rankedAt = now
 	rank, others := g.others(now)
 	g.machine.SetRank(rank, len(others)+1)
 }
--- a/instance/group.go
+++ b/instance/group.go
@@ -31,8 +31,8 @@
 	// their begin and at their end.
 	suspected uint64
 	reported  uint64
-	// rankedAt is when machine was last told its rank.
-	rankedAt time.Time
+	// epoch is the fleet's when machine was last told its rank.
+	epoch uint64
 	// shown is what was published last.
 	shown   shown
 	tracker *mark.Tracker
