--- a/core/group/attempt.go
+++ b/core/group/attempt.go
@@ -38,8 +38,8 @@
 	Reason   Reason
 	Term     uint64
 	Endpoint core.Endpoint
-	// BeganAt is when the failed primary last answered, or when it stopped
-	// being confirmed; the times after it are zero until reached.
+	// BeganAt is when the failed primary last answered, stopped being confirmed
+	// or stopped being primary; the times after it are zero until reached.
 	BeganAt     time.Time
 	SuspectedAt time.Time
 	DecidedAt   time.Time
@@ -80,7 +80,7 @@
 	m.attempt = &attempt{suspicion: s, phase: phaseAsking, startedAt: now}
 	m.attempt.report = Failover{Reason: s.reason, SuspectedAt: m.suspectedAt}
 	m.attempt.report.BeganAt = s.since
-	if e := m.member(m.primary); e != nil && s.reason != ReasonStalled {
+	if e := m.member(m.primary); e != nil && (s.reason == ReasonRefused || s.reason == ReasonSilent) {
 		m.attempt.report.BeganAt = e.answeredAt
 	}
 	if m.instances <= 1 {
