Tell a read that failed until its deadline from one that nobody is fresh for

Cause: a read whose endpoints gave no answer before its deadline was refused with 2003, no endpoint fresh enough, though one was; operators would have looked for a lag. It is refused with 2010 now. Without the change TestReadIsNotAnsweredWithoutProof/no_answers fails.

--- a/instance/read.go
+++ b/instance/read.go
@@ -67,7 +67,7 @@
 	for range maxReadTries {
 		state, c := s.place()
 		if c.Action == route.ActionRefuse {
-			return s.refuse(c.Err)
+			return s.refuse(s.reads.refusal(c.Err))
 		}
 		done, err := s.readOn(u, state, state.Members[c.Endpoint])
 		if done || err != nil {
@@ -79,6 +79,15 @@
 	return s.refuse(readFailed("the read failed on %d endpoints", maxReadTries))
 }
 
+// refusal returns what to tell a caller whose read ran out of time: that it
+// failed where it was tried, if it was.
+func (r *reads) refusal(e *core.Error) *core.Error {
+	if len(r.failed) == 0 || e.Code != core.CodeNoFreshReplica {
+		return e
+	}
+	return readFailed("the read failed on %d endpoints until its deadline", len(r.failed))
+}
+
 func (s *session) kind(name core.Kind) (patch.Kind, *core.Error) {
 	database, ok := s.instance.View().Config.Databases[s.login.Database]
 	if !ok {
--- a/instance/read_test.go
+++ b/instance/read_test.go
@@ -20,10 +20,16 @@
 	"anviltack/settings"
 )
 
-// sink is a caller's socket that takes everything.
-type sink struct{ net.Conn }
+// sink is a caller's socket that keeps what it was sent last.
+type sink struct {
+	net.Conn
+	last []byte
+}
 
-func (sink) Write(b []byte) (int, error) { return len(b), nil }
+func (s *sink) Write(b []byte) (int, error) {
+	s.last = append(s.last[:0], b...)
+	return len(b), nil
+}
 
 func encode(t testing.TB, messages ...pgproto3.BackendMessage) []byte {
 	t.Helper()
@@ -43,6 +49,8 @@
 	after core.Point
 	// shift is added to the number that the status request carries.
 	shift uint64
+	// mute keeps all answers back.
+	mute bool
 }
 
 // read is the answer to the transaction of a read.
@@ -89,7 +97,7 @@
 		if _, err := io.ReadFull(nc, body[:n]); err != nil {
 			return
 		}
-		if header[0] != 'Q' {
+		if header[0] != 'Q' || f.mute {
 			continue
 		}
 		if bytes.HasPrefix(body[:n], []byte(rollbackStatement)) {
@@ -104,8 +112,8 @@
 }
 
 // newReader returns a session before a group whose one replica gives fixed
-// answers, and a read. The replica was sampled at (1, 50).
-func newReader(t testing.TB, f fixedAnswers) (*session, *unit) {
+// answers, a read, and the caller's end. The replica was sampled at (1, 50).
+func newReader(t testing.TB, f fixedAnswers) (*session, *unit, *sink) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -136,15 +144,16 @@
 	g.publish(&GroupState{Term: 1, Members: map[core.Endpoint]*Member{"r": m}})
 	database := patch.Database{Group: "g", Kinds: map[core.Kind]patch.Kind{"series": {Age: patch.Duration(time.Hour)}}}
 	in.view.Store(&View{Config: &patch.Config{Databases: map[core.Database]patch.Database{"index": database}}, Groups: map[core.Group]*Group{"g": g}})
+	out := &sink{}
 	s := &session{
 		sessionEntry: &sessionEntry{}, instance: in, group: g, database: database,
 		login: caller.Login{Database: "index"},
-		conn:  caller.NewConn(sink{}, 1<<20),
+		conn:  caller.NewConn(out, 1<<20),
 		marks: mark.New(now), reads: reads{router: in.newRouter()},
 	}
 	s.marks.Raise("g", core.Point{Term: 1, Position: 50}, now)
 	u := &unit{simple: true, sql: "SELECT value FROM item WHERE key = 'a'", executions: 1, arrived: now, deadline: now.Add(time.Hour), annotation: annotation{kind: "series"}}
-	return s, u
+	return s, u, out
 }
 
 // sound are the answers of an endpoint without a fault.
@@ -156,7 +165,7 @@
 
 func TestReadAllocations(t *testing.T) {
 	is := is.New(t)
-	s, u := newReader(t, sound)
+	s, u, _ := newReader(t, sound)
 	is.NoErr(s.serveRead(u))
 	n := testing.AllocsPerRun(1000, func() {
 		if err := s.serveRead(u); err != nil {
@@ -169,7 +178,7 @@
 }
 
 func BenchmarkReadOnReplica(b *testing.B) {
-	s, u := newReader(b, sound)
+	s, u, _ := newReader(b, sound)
 	b.ReportAllocs()
 	for b.Loop() {
 		if err := s.serveRead(u); err != nil {
@@ -180,7 +189,7 @@
 
 func TestReadGoesElsewhereWhenAnEndpointIsSilent(t *testing.T) {
 	is := is.New(t)
-	s, u := newReader(t, sound)
+	s, u, _ := newReader(t, sound)
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer silent.Close() //nolint:errcheck // Nothing is served.
@@ -203,13 +212,19 @@
 		"went back":       {after: core.Point{Term: 1, Position: 49}},
 		"changed term":    {after: core.Point{Term: 2, Position: 50}},
 		"crossed answers": {after: core.Point{Term: 1, Position: 50}, shift: 1},
+		"no answers":      {mute: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s, u := newReader(t, f)
+			s, u, out := newReader(t, f)
+			if f.mute {
+				u.deadline = time.Now().Add(100 * time.Millisecond)
+			}
 			is.NoErr(s.serveRead(u))
 			is.Equal(s.instance.counts.readsOnReplica.Count(), int64(0))
 			is.Equal(s.instance.counts.refusals.Count(), int64(1))
+			is.Equal(out.last[0], byte('E'))
+			is.True(bytes.Contains(out.last, []byte("AT2010")))
 		})
 	}
 }
