Relieve a primary that is called leaving

An endpoint that leaves gets no new work, but nothing moved a primary away, so its writes went on. The machine now takes a leaving primary for a reason to fail over, once an endpoint that stays is reachable and holds everything that a majority confirmed; peers that still hear the primary do not object to it. Of equally advanced endpoints one that stays is chosen. With nobody left to take over the primary stays in office.

A handover that first waits for open transactions was weighed and left: they end as in a failover, with a truthful code.

--- a/core/group/action.go
+++ b/core/group/action.go
@@ -53,4 +53,6 @@
 	ReasonSilent  Reason = "silent"
 	ReasonStalled Reason = "stalled"
 	ReasonAbsent  Reason = "absent"
+	// ReasonLeaving means that the primary works but is to be relieved.
+	ReasonLeaving Reason = "leaving"
 )
--- a/core/group/attempt.go
+++ b/core/group/attempt.go
@@ -191,15 +191,23 @@
 		if !ok || e.Name == without {
 			continue
 		}
-		if best == "" || m.attempt.fenced[best].Less(last) {
-			best = e.Name
-		} else if m.attempt.fenced[best] == last && m.besideSuspect(best) && !m.besideSuspect(e.Name) {
+		if best == "" || m.attempt.fenced[best].Less(last) || m.attempt.fenced[best] == last && m.isPreferred(e, m.member(best)) {
 			best = e.Name
 		}
 	}
 	return best
 }
 
+// isPreferred tells which of two equally advanced endpoints becomes the primary:
+// one that stays before one that leaves, and one in another data centre than the
+// failed primary before one in the same.
+func (m *Machine) isPreferred(a, b *member) bool {
+	if a.Leaving != b.Leaving {
+		return b.Leaving
+	}
+	return m.besideSuspect(b.Name) && !m.besideSuspect(a.Name)
+}
+
 // besideSuspect reports whether an endpoint shares the failed primary's data
 // centre.
 func (m *Machine) besideSuspect(name core.Endpoint) bool {
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -42,6 +42,9 @@
 		if d := m.stalled(now); d >= m.periods.Stall {
 			return suspicion{reason: ReasonStalled, since: now.Add(-d), suspect: e.Name}
 		}
+		if e.Leaving && m.hasRelief(now, e) {
+			return suspicion{reason: ReasonLeaving, since: now, suspect: e.Name}
+		}
 	}
 	if m.fence > 0 && !m.absentSince.IsZero() && now.Sub(m.absentSince) >= m.absence(now) {
 		return suspicion{reason: ReasonAbsent, since: m.absentSince}
@@ -49,6 +52,17 @@
 	return suspicion{}
 }
 
+// hasRelief reports whether an endpoint that stays holds everything that a
+// majority confirmed, so that it can follow a primary that leaves.
+func (m *Machine) hasRelief(now time.Time, primary *member) bool {
+	for _, e := range m.members {
+		if e != primary && !e.Leaving && m.isReachable(e, now) && e.holds(m.term) && e.status.Received >= m.confirmed.Position {
+			return true
+		}
+	}
+	return false
+}
+
 // absence returns how long a group without a primary is left alone: as long as a
 // silent primary while an endpoint that may be the primary does not answer.
 func (m *Machine) absence(now time.Time) time.Duration {
--- a/core/group/machine_test.go
+++ b/core/group/machine_test.go
@@ -74,6 +74,8 @@
 	switch f[0] {
 	case "load":
 		w.load()
+	case "leaving":
+		w.leave(e.name)
 	case "run":
 		d, _ := time.ParseDuration(f[1])
 		w.run(d)
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -10,6 +10,9 @@
 type Member struct {
 	Name       core.Endpoint
 	DataCentre core.DataCentre
+	// Leaving tells that the endpoint gets no new work; as a primary it is
+	// relieved.
+	Leaving bool
 }
 
 // member is what the machine knows of one endpoint.
--- a/core/group/opinion.go
+++ b/core/group/opinion.go
@@ -60,5 +60,8 @@
 	if o.Term > m.term {
 		return o.Silent < m.periods.Reachable
 	}
+	if a.reason == ReasonLeaving {
+		return false
+	}
 	return now.Add(-o.Silent-opinionSkew).After(a.since) && o.Stalled < m.periods.Stall/2
 }
--- a/core/group/world_test.go
+++ b/core/group/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -111,6 +112,7 @@
 	unknown    int
 	written    int
 	noPeers    bool
+	members    []Member
 	out        strings.Builder
 	faults     []string
 }
@@ -119,11 +121,10 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), now: epoch, jitter: time.Millisecond,
 	}
-	var members []Member
 	for _, n := range []core.Endpoint{"a", "b", "c"} {
 		f := &fakeEndpoint{name: n, fence: 1, term: 1, next: map[core.Endpoint]int{}, cut: map[core.Endpoint]bool{}, pushed: map[core.Endpoint]time.Time{}}
 		w.endpoints = append(w.endpoints, f)
-		members = append(members, Member{Name: n, DataCentre: core.DataCentre(n)})
+		w.members = append(w.members, Member{Name: n, DataCentre: core.DataCentre(n)})
 		w.replicate(f)
 	}
 	w.endpoints[0].primary = true
@@ -132,7 +133,7 @@
 		m.SetRank(i, instances)
 		p := &fakeInstance{Machine: m, number: i, lost: map[core.Endpoint]bool{}, deaf: map[core.Endpoint]bool{}}
 		w.instances = append(w.instances, p)
-		w.step(p, func() []Action { return m.Configure(w.now, members) })
+		w.step(p, func() []Action { return m.Configure(w.now, slices.Clone(w.members)) })
 	}
 	return w
 }
@@ -468,3 +469,15 @@
 		w.fault("read %d missed write %d, acknowledged before", s.id, s.missed)
 	}
 }
+
+// leave marks an endpoint as leaving on every instance.
+func (w *world) leave(name core.Endpoint) {
+	for i, m := range w.members {
+		if m.Name == name {
+			w.members[i].Leaving = true
+		}
+	}
+	for _, p := range w.instances {
+		w.step(p, func() []Action { return p.Configure(w.now, slices.Clone(w.members)) })
+	}
+}
--- a/instance/failover.go
+++ b/instance/failover.go
@@ -200,7 +200,7 @@
 func (g *groupControl) groupMembers() []group.Member {
 	members := make([]group.Member, 0, len(g.members))
 	for name, m := range g.members {
-		members = append(members, group.Member{Name: name, DataCentre: m.config.DataCentre})
+		members = append(members, group.Member{Name: name, DataCentre: m.config.DataCentre, Leaving: m.config.Leaving})
 	}
 	slices.SortFunc(members, func(a, b group.Member) int {
 		if a.Name < b.Name {
--- a/process/leaving_test.go
+++ b/process/leaving_test.go
@@ -63,7 +63,7 @@
 
 // TestLeavingEndpoint checks that an endpoint that the configuration or the
 // platform's list calls leaving gets no new reads from any instance, also from
-// those that do not watch the list.
+// those that do not watch the list, and that a leaving primary is relieved.
 func TestLeavingEndpoint(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -119,4 +119,19 @@
 		read()
 		return s.statements("e3") > e3
 	})
+
+	s.submit(s.instances["i2"], json.RawMessage(`{"groups":{"g":{"endpoints":{"e2":{"leaving":false},"e1":{"leaving":true}}}}}`))
+	for _, p := range s.instances {
+		s.until(p.name+" has another primary", func() bool {
+			got, err := p.statusOf()
+			return err == nil && len(got.Groups) == 1 && got.Groups[0].Primary != "" && got.Groups[0].Primary != "e1"
+		})
+	}
+	e1 := s.statements("e1")
+	for i, c := range sessions {
+		_, err := c.Exec(ctx, fmt.Sprintf("INSERT INTO item (key, value) VALUES ('after %d', '1')", i))
+		is.NoErr(err)
+	}
+	read()
+	is.Equal(s.statements("e1"), e1)
 }
