--- a/core/group/world_test.go
+++ b/core/group/world_test.go
@@ -113,6 +113,7 @@
 	written    int
 	noPeers    bool
 	members    []Member
+	readsOnly  bool
 	out        strings.Builder
 	faults     []string
 }
--- a/instance/held.go
+++ b/instance/held.go
@@ -27,7 +27,7 @@
 	}
 	x := newExchange(h.conn, s.conn)
 	x.unit(u)
-	x.query(endpoint.StatusStatement)
+	h.conn.SendStatus()
 	if err := h.conn.Flush(); err != nil {
 		return s.lostHeld(x)
 	}
--- a/instance/submission.go
+++ b/instance/submission.go
@@ -6,7 +6,6 @@
 
 	"anviltack/core"
 	"anviltack/io/caller"
-	"anviltack/io/endpoint"
 )
 
 // keyExistsTag is the tag of a submission key's insertion that did nothing.
@@ -16,6 +15,7 @@
 func (w *work) writeOnce() (bool, error) {
 	w.x.query(beginStatement)
 	w.x.query("INSERT INTO anviltack_submission (key) VALUES (" + quote(w.unit.annotation.submission) + ") ON CONFLICT DO NOTHING")
+	w.conn.SendStatus()
 	if err := w.conn.Flush(); err != nil {
 		return w.lostOnce()
 	}
@@ -26,6 +26,9 @@
 	if err != nil {
 		return w.lostOnce()
 	}
+	if _, err := w.conn.ReceiveStatus(); err != nil && !isAborted(o, err) {
+		return w.lostOnce()
+	}
 	sentAt := time.Now()
 	found := o.tag == keyExistsTag
 	if found || o.failure != "" {
@@ -34,7 +37,7 @@
 		w.x.unit(w.unit)
 		w.x.query(commitStatement)
 	}
-	w.x.query(endpoint.StatusStatement)
+	w.conn.SendStatus()
 	if err := w.conn.Flush(); err != nil {
 		return w.lostOnce()
 	}
