Cross answers on every endpoint and strike with two faults at once

Cause: one crossed answer at the primary struck too little, and two faults at once failed in the demo itself: it asked a paused endpoint and did not wait for a new primary. The cross scenario now crosses answers of every endpoint ten times.

Conclusion: kill, pause, cross, mute, drain, lag, a killed instance and a platform that is down, two at a time, are covered by tests.

--- a/standin/cmd/demo_test.go
+++ b/standin/cmd/demo_test.go
@@ -61,10 +61,18 @@
 	is.True(report.ReadsPrimary+report.ReadsReplica > 0)
 }
 
-func TestIndexWithPlatformDown(t *testing.T) {
-	runDemo(t, "index", demo.ScenarioPlatform, demo.ScenarioLag)
+func TestIndexWithKilledPrimaryAndPlatformDown(t *testing.T) {
+	runDemo(t, "index", demo.ScenarioKill, demo.ScenarioPlatform)
 }
 
-func TestBoardWithMutedPrimaryAndKilledInstance(t *testing.T) {
-	runDemo(t, "board", demo.ScenarioMute, demo.ScenarioEntry)
+func TestIndexWithPausedPrimaryAndLag(t *testing.T) {
+	runDemo(t, "index", demo.ScenarioPause, demo.ScenarioLag)
+}
+
+func TestBoardWithCrossedAnswersAndKilledInstance(t *testing.T) {
+	runDemo(t, "board", demo.ScenarioCross, demo.ScenarioEntry)
+}
+
+func TestBoardWithMutedPrimaryAndDrain(t *testing.T) {
+	runDemo(t, "board", demo.ScenarioMute, demo.ScenarioDrain)
 }
--- a/standin/demo/bench.go
+++ b/standin/demo/bench.go
@@ -34,6 +34,8 @@
 	statements netip.AddrPort
 	control    netip.AddrPort
 	process    *process
+	// paused tells that the process is stopped by a signal.
+	paused bool
 }
 
 // entry is one running entry instance.
@@ -216,25 +218,36 @@
 	return errors.Join(stopAll(entries), stopAll(others))
 }
 
-// primary returns the primary of a group.
+// primary returns the primary of a group once there is one.
 func (b *bench) primary(group int) (*member, error) {
+	var found *member
+	err := b.await(context.Background(), "a primary of "+b.site.groupName(group), func() error {
+		if found = b.findPrimary(group); found == nil {
+			return errors.New("demo: no endpoint is primary")
+		}
+		return nil
+	})
+	return found, err
+}
+
+func (b *bench) findPrimary(group int) *member {
 	var best *member
 	var term uint64
 	for _, m := range b.members {
 		var s endpoint.Stats
-		if m.group != group || !m.process.isRunning() || b.get(m.control, "/stats", &s) != nil {
+		if m.group != group || !m.isAnswering() || b.get(m.control, "/stats", &s) != nil {
 			continue
 		}
-		if s.Status.Role == core.RolePrimary && s.Status.Term > term {
+		if s.Status.Role == core.RolePrimary && s.Status.Fence == s.Status.Term && s.Status.Term > term {
 			best, term = m, s.Status.Term
 		}
 	}
-	if best == nil {
-		return nil, fmt.Errorf("demo: group %s has no primary", b.site.groupName(group))
-	}
-	return best, nil
+	return best
 }
 
+// isAnswering reports whether the endpoint's control address answers.
+func (m *member) isAnswering() bool { return m.process.isRunning() && !m.paused }
+
 func (b *bench) get(a netip.AddrPort, path string, into any) error {
 	response, err := b.client.Get("http://" + a.String() + path)
 	if err != nil {
--- a/standin/demo/scenario.go
+++ b/standin/demo/scenario.go
@@ -34,8 +34,13 @@
 	ScenarioDrain    Scenario = "drain"
 )
 
-// healAfter is how long a fault that heals lasts.
-const healAfter = 4 * time.Second
+// Times of the scenarios.
+const (
+	// healAfter is how long a fault that heals lasts.
+	healAfter   = 4 * time.Second
+	crossRounds = 10
+	crossPause  = 100 * time.Millisecond
+)
 
 // fault is how a scenario begins and, when it heals, ends.
 type fault struct {
@@ -93,7 +98,7 @@
 	case ScenarioMute:
 		return strike(endpoint.Fault{Mute: on(true)}, endpoint.Fault{}), nil
 	case ScenarioCross:
-		return strike(endpoint.Fault{CrossNext: on(true)}, endpoint.Fault{}), nil
+		return fault{begin: crossAnswers}, nil
 	case ScenarioRestart:
 		return strike(endpoint.Fault{Restart: on(true)}, endpoint.Fault{}), nil
 	case ScenarioPlatform:
@@ -128,16 +133,39 @@
 				return "", err
 			}
 			struck = m
+			m.paused = true
 			return m.name, m.process.signal(syscall.SIGSTOP)
 		},
-		end: func(*bench) error { return struck.process.signal(syscall.SIGCONT) },
+		end: func(*bench) error {
+			struck.paused = false
+			return struck.process.signal(syscall.SIGCONT)
+		},
+	}
+}
+
+// crossAnswers crosses answers of every endpoint that answers, again and again.
+func crossAnswers(b *bench) (string, error) {
+	for range crossRounds {
+		for _, m := range b.members {
+			if !m.isAnswering() {
+				continue
+			}
+			if err := b.put(m.control, "/fault", endpoint.Fault{CrossNext: on(true)}, ""); err != nil {
+				return "", err
+			}
+		}
+		time.Sleep(crossPause)
 	}
+	return "every endpoint", nil
 }
 
-// lagReplicas sets the lag of every endpoint.
+// lagReplicas sets the lag of every endpoint that answers.
 func lagReplicas(lag time.Duration) func(*bench) (string, error) {
 	return func(b *bench) (string, error) {
 		for _, m := range b.members {
+			if !m.isAnswering() {
+				continue
+			}
 			if err := b.put(m.control, "/fault", endpoint.Fault{Lag: on(patch.Duration(lag))}, ""); err != nil {
 				return "", err
 			}
