Part a data centre from the others

Cause: the case to prove is a primary that its own data centre cannot reach while callers can, and no fault switch parted instances from endpoints. The endpoint's switch away holds back everything to and from instances of the named data centres; the scenario partition uses it with the cut of replication.

Conclusion: the partition is judged from the outside as the other faults are.

--- a/standin/cmd/demo.go
+++ b/standin/cmd/demo.go
@@ -15,7 +15,7 @@
 type demoCmd struct {
 	Site      string          `default:"index" enum:"index,board" help:"Deployment: index or board."`
 	Duration  time.Duration   `default:"20s" help:"How long the callers go on."`
-	Faults    []demo.Scenario `default:"kill" help:"Faults half way: none, kill, pause, freeze, cut, lag, silence, mute, cross, restart, platform-down, lose-answers, kill-entry, drain."`
+	Faults    []demo.Scenario `default:"kill" help:"Faults half way: none, kill, pause, freeze, cut, lag, silence, mute, cross, restart, platform-down, lose-answers, kill-entry, drain, partition."`
 	Anviltack string          `default:"" help:"Path of the anviltack binary; beside this one when not given." type:"path"`
 	Seed      uint64          `default:"1" help:"Seed of the callers' choices."`
 	Valuers   int             `default:"6" help:"Callers that write."`
--- a/standin/demo/scenario.go
+++ b/standin/demo/scenario.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"anviltack/core"
 	"anviltack/core/patch"
 	"anviltack/standin/endpoint"
 	"anviltack/standin/platform"
@@ -32,6 +33,7 @@
 	ScenarioLose     Scenario = "lose-answers"
 	ScenarioEntry    Scenario = "kill-entry"
 	ScenarioDrain    Scenario = "drain"
+	ScenarioParted   Scenario = "partition"
 )
 
 // Times of the scenarios.
@@ -88,6 +90,8 @@
 		return strike(endpoint.Fault{Freeze: on(true)}, endpoint.Fault{Freeze: on(false)}), nil
 	case ScenarioCut:
 		return strike(endpoint.Fault{CutAll: on(true)}, endpoint.Fault{CutAll: on(false)}), nil
+	case ScenarioParted:
+		return fault{begin: part, end: unite}, nil
 	case ScenarioLag:
 		return fault{begin: lagReplicas(5 * time.Second), end: func(b *bench) error {
 			_, err := lagReplicas(b.site.Lag)(b)
@@ -143,14 +147,61 @@
 	}
 }
 
+// part cuts the data centre of the first group's primary off from the others:
+// instances reach only endpoints on their own side, and so does replication.
+func part(b *bench) (string, error) {
+	primary, err := b.primary(0)
+	if err != nil {
+		return "", err
+	}
+	alone := primary.dataCentre
+	var others []core.DataCentre
+	for _, d := range b.site.DataCentres {
+		if d != alone {
+			others = append(others, d)
+		}
+	}
+	for _, m := range b.members {
+		away := others
+		if m.dataCentre != alone {
+			away = []core.DataCentre{alone}
+		}
+		var cut []netip.AddrPort
+		for _, other := range b.members {
+			if slices.Contains(away, other.dataCentre) {
+				cut = append(cut, other.control)
+			}
+		}
+		if err := b.strikeMember(m, endpoint.Fault{Away: &away, Cut: &cut}); err != nil {
+			return "", err
+		}
+	}
+	return string(alone), nil
+}
+
+// unite ends a partition.
+func unite(b *bench) error {
+	for _, m := range b.members {
+		if err := b.strikeMember(m, endpoint.Fault{Away: &[]core.DataCentre{}, Cut: &[]netip.AddrPort{}}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// strikeMember turns a fault switch of an endpoint that answers.
+func (b *bench) strikeMember(m *member, f endpoint.Fault) error {
+	if !m.isAnswering() {
+		return nil
+	}
+	return b.put(m.control, "/fault", f, "")
+}
+
 // crossAnswers crosses answers of every endpoint that answers, again and again.
 func crossAnswers(b *bench) (string, error) {
 	for range crossRounds {
 		for _, m := range b.members {
-			if !m.isAnswering() {
-				continue
-			}
-			if err := b.put(m.control, "/fault", endpoint.Fault{CrossNext: on(true)}, ""); err != nil {
+			if err := b.strikeMember(m, endpoint.Fault{CrossNext: on(true)}); err != nil {
 				return "", err
 			}
 		}
@@ -163,10 +214,7 @@
 func lagReplicas(lag time.Duration) func(*bench) (string, error) {
 	return func(b *bench) (string, error) {
 		for _, m := range b.members {
-			if !m.isAnswering() {
-				continue
-			}
-			if err := b.put(m.control, "/fault", endpoint.Fault{Lag: on(patch.Duration(lag))}, ""); err != nil {
+			if err := b.strikeMember(m, endpoint.Fault{Lag: on(patch.Duration(lag))}); err != nil {
 				return "", err
 			}
 		}
--- a/standin/endpoint/control.go
+++ b/standin/endpoint/control.go
@@ -13,10 +13,12 @@
 
 // faults are the switches that are on.
 type faults struct {
-	lag       time.Duration
-	slow      time.Duration
-	cut       []netip.AddrPort
-	cutAll    bool
+	lag    time.Duration
+	slow   time.Duration
+	cut    []netip.AddrPort
+	cutAll bool
+	// away holds the data centres that the endpoint is cut off from.
+	away      []core.DataCentre
 	crossNext bool
 	refuse    bool
 }
@@ -34,11 +36,14 @@
 	Mute    *bool           `json:"mute,omitempty"`
 	// Cut names the peers' control addresses that replication no longer
 	// reaches; an empty list restores all.
-	Cut       *[]netip.AddrPort `json:"cut,omitempty"`
-	CutAll    *bool             `json:"cut_all,omitempty"`
-	CrossNext *bool             `json:"cross_next,omitempty"`
-	Refuse    *bool             `json:"refuse,omitempty"`
-	Restart   *bool             `json:"restart,omitempty"`
+	Cut    *[]netip.AddrPort `json:"cut,omitempty"`
+	CutAll *bool             `json:"cut_all,omitempty"`
+	// Away names the data centres whose instances get no answers until it is
+	// lifted; an empty list lifts it.
+	Away      *[]core.DataCentre `json:"away,omitempty"`
+	CrossNext *bool              `json:"cross_next,omitempty"`
+	Refuse    *bool              `json:"refuse,omitempty"`
+	Restart   *bool              `json:"restart,omitempty"`
 }
 
 // Rows is the answer to GET /rows.
@@ -140,6 +145,7 @@
 	replace((*time.Duration)(f.Slow), &e.faults.slow)
 	replace(f.Cut, &e.faults.cut)
 	replace(f.CutAll, &e.faults.cutAll)
+	replace(f.Away, &e.faults.away)
 	replace(f.CrossNext, &e.faults.crossNext)
 	replace(f.Refuse, &e.faults.refuse)
 	for _, s := range e.sessions {
--- a/standin/endpoint/distance.go
+++ b/standin/endpoint/distance.go
@@ -1,11 +1,15 @@
 package endpoint
 
 import (
+	"context"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"anviltack/core"
 )
 
 // userPrefix starts the user names of instances that tell their data centre.
@@ -136,11 +140,38 @@
 	return l.Conn.Close()
 }
 
-// setUser makes the link as long as the way from the data centre that a user
-// name tells.
-func (l *link) setUser(e *Endpoint, user string) {
-	dataCentre, told := strings.CutPrefix(user, userPrefix)
-	if told && e.dataCentre != "" && dataCentre != string(e.dataCentre) {
+// dataCentreOf returns the data centre that a user name tells, or nothing.
+func dataCentreOf(user string) core.DataCentre {
+	name, told := strings.CutPrefix(user, userPrefix)
+	if !told {
+		return ""
+	}
+	return core.DataCentre(name)
+}
+
+// setDataCentre makes the link as long as the way from a data centre.
+func (l *link) setDataCentre(e *Endpoint, from core.DataCentre) {
+	if from != "" && e.dataCentre != "" && from != e.dataCentre {
 		l.far.Store(newDistance(l.Conn, e.delay))
 	}
 }
+
+// reach waits while the endpoint is cut off from the session's data centre; it
+// fails when the session ends meanwhile.
+func (s *session) reach(ctx context.Context) error {
+	e := s.endpoint
+	for {
+		e.mu.Lock()
+		away := slices.Contains(e.faults.away, s.dataCentre)
+		changed := e.changed
+		e.mu.Unlock()
+		if !away {
+			return e.frozen.wait(ctx)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- a/standin/endpoint/session.go
+++ b/standin/endpoint/session.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"anviltack/core"
 )
 
 const (
@@ -22,6 +24,10 @@
 	endpoint *Endpoint
 	conn     *link
 	backend  *pgproto3.Backend
+	// ctx ends with the session.
+	ctx context.Context
+	// dataCentre is where the session's instance is, empty when not told.
+	dataCentre core.DataCentre
 	// id and secret name the session in cancel requests.
 	id     uint32
 	secret []byte
@@ -62,6 +68,9 @@
 // run serves the connection until it ends.
 func (s *session) run(ctx context.Context) {
 	defer s.close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.ctx = ctx
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
 	if !s.start(ctx) {
@@ -71,7 +80,7 @@
 	defer s.rollback()
 	for {
 		message, err := s.backend.Receive()
-		if err != nil || s.endpoint.frozen.wait(ctx) != nil {
+		if err != nil || s.reach(ctx) != nil {
 			return
 		}
 		if s.silent.Load() {
@@ -102,10 +111,11 @@
 			s.endpoint.cancelStatement(m.ProcessID, m.SecretKey)
 			return false
 		case *pgproto3.StartupMessage:
-			if !wait(ctx, nil, s.endpoint.connect) || !s.welcome(m) {
+			s.dataCentre = dataCentreOf(m.Parameters["user"])
+			if s.reach(ctx) != nil || !wait(ctx, nil, s.endpoint.connect) || !s.welcome(m) {
 				return false
 			}
-			s.conn.setUser(s.endpoint, m.Parameters["user"])
+			s.conn.setDataCentre(s.endpoint, s.dataCentre)
 			return true
 		}
 	}
@@ -229,7 +239,7 @@
 	s := o.session
 	target, slow := s.endpoint.route(s)
 	time.Sleep(slow)
-	if err := s.endpoint.frozen.wait(context.Background()); err != nil {
+	if err := s.reach(s.ctx); err != nil {
 		return 0, err
 	}
 	if s.silent.Load() || s.mute.Load() {
