--- a/instance/group.go
+++ b/instance/group.go
@@ -81,6 +81,7 @@
 		m.member.Leaving = e.Leaving
 		m.member.DataCentre = e.DataCentre
 		m.member.Slots = e.Slots
+		m.member.links.configure(e, g.control.config.Limits.Queue)
 	}
 	g.track()
 	g.publish()
--- a/instance/held.go
+++ b/instance/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"anviltack/core"
+	"anviltack/core/pool"
 	"anviltack/io/endpoint"
 )
 
@@ -19,6 +20,12 @@
 		return u.fault
 	}
 	h := s.held
+	if _, e := h.links.get(admission{caller: s.login.Caller, deadline: u.deadline, work: pool.WorkTransaction, held: h.conn}); e != nil {
+		return core.NewError(core.CodeTransactionLost, "the transaction was rolled back: %s", e.Reason).WithRetry(e.RetryAfter)
+	}
+	if !h.conn.IsQuiet() {
+		return core.NewError(core.CodeTransactionLost, "the connection of the transaction failed, nothing of it took effect").WithRetry(minPause)
+	}
 	h.conn.SetDeadline(u.deadline)
 	s.begin(h.conn)
 	if s.group.State().Term > h.term {
@@ -45,6 +52,7 @@
 		return transactionLost()
 	}
 	if o.status != 'I' {
+		h.links.pause(h.conn)
 		return s.ready(o.status)
 	}
 	s.held = nil
--- a/instance/links.go
+++ b/instance/links.go
@@ -1,123 +1,284 @@
 package instance
 
 import (
-	"context"
-	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/admit"
 	"anviltack/core/patch"
+	"anviltack/core/pool"
 	"anviltack/io/endpoint"
 )
 
-// assumedInstances is how many instances share an endpoint's connections.
-const assumedInstances = 5
-
-// stateTooManyConnections is the SQLSTATE of an endpoint at its cap.
-const stateTooManyConnections = "53300"
+const (
+	// controlConnections is how many connections of an instance to an endpoint
+	// take samples and control requests.
+	controlConnections = 1
+	// doubtAfter is the least time without an answer after which a connection
+	// is doubted.
+	doubtAfter = 500 * time.Millisecond
+	// doubtFactor is how many times the usual service time an answer may take.
+	doubtFactor = 4
+)
 
-// links are the connections of this instance to one endpoint.
+// links are the slots of one endpoint that this instance may use and its
+// connections to it.
 type links struct {
 	instance *Instance
 	name     core.Endpoint
 	address  netip.AddrPort
 	// evidence takes what a failure of a connection shows of the endpoint.
 	evidence func(err error)
-	// tokens holds one token for each connection that may be in use.
-	tokens chan struct{}
 
-	mu     sync.Mutex
-	idle   []*endpoint.Conn
-	closed bool
+	mu sync.Mutex
+	// sharing decides which statements run; connections decide on what.
+	sharing     *admit.Sharing
+	connections *pool.Pool
+	last        uint64
+	// waiters are the statements without a verdict, by request.
+	waiters map[uint64]*waiter
+	// conns are the open connections by their number in the pool.
+	conns map[uint64]*link
+	// uses are the connections in use.
+	uses map[*endpoint.Conn]*link
+	// asks are the asks of other instances that are held here.
+	asks map[askKey]chan<- admit.Grant
+	// members and count are what sharing and connections were told last.
+	members []core.Instance
+	count   int
+	timer   *time.Timer
+	closed  bool
+}
+
+// link is one open connection.
+type link struct {
+	conn *endpoint.Conn
+	// number is the connection's number in the pool.
+	number uint64
+	// request is the statement that holds a slot, zero between the statements
+	// of a transaction and while the connection is idle.
+	request uint64
+}
+
+// waiter is one statement that waits to be started.
+type waiter struct {
+	admission
+	// link is set when the statement starts on a connection of its own.
+	link    *link
+	verdict chan verdict
+}
+
+// waiters are reused, because every statement needs one.
+var waiters = sync.Pool{New: func() any { return &waiter{verdict: make(chan verdict, 1)} }}
+
+// admission is a statement's request to run.
+type admission struct {
+	caller   core.Caller
+	deadline time.Time
+	work     pool.Work
+	// held is the connection of the open transaction, or nil.
+	held *endpoint.Conn
+}
+
+type verdict struct {
+	conn *endpoint.Conn
+	err  *core.Error
 }
 
 func newLinks(in *Instance, name core.Endpoint, e patch.Endpoint) *links {
-	share := max(e.Connections/assumedInstances-1, 1)
-	l := &links{instance: in, name: name, address: e.Address, tokens: make(chan struct{}, share)}
-	for range share {
-		l.tokens <- struct{}{}
+	l := &links{
+		instance:    in,
+		name:        name,
+		address:     e.Address,
+		evidence:    func(error) {},
+		connections: pool.New(e.Connections, pool.WithControl(controlConnections)),
+		waiters:     make(map[uint64]*waiter),
+		conns:       make(map[uint64]*link),
+		uses:        make(map[*endpoint.Conn]*link),
+		asks:        make(map[askKey]chan<- admit.Grant),
 	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	l.sharing = admit.NewSharing(name, in.settings.Instance, e.Slots, random, admit.WithSharedConnections(l.connect))
+	l.enlist(time.Now())
 	return l
 }
 
-// get returns a connection that is for the caller alone until it is put back.
-func (l *links) get(deadline time.Time) (*endpoint.Conn, *core.Error) {
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	select {
-	case <-l.tokens:
-	case <-timer.C:
-		return nil, core.NewError(core.CodeOverloaded, "no connection to %s became free in time", l.name)
+// configure takes in the endpoint's numbers and the bound of the queue, zero
+// for the default.
+func (l *links) configure(e patch.Endpoint, queue int) {
+	if queue <= 0 {
+		queue = admit.DefaultQueue
 	}
-	if c := l.pop(); c != nil {
-		return c, nil
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.perform(l.connections.Resize(now, e.Connections, l.count))
+	l.apply(now, l.sharing.Resize(now, e.Slots, queue))
+}
+
+// get waits for a slot and a connection, which are for the caller alone until
+// the connection is put back. A connection on which something came in while it
+// was idle is closed and never handed out.
+func (l *links) get(a admission) (*endpoint.Conn, *core.Error) {
+	for {
+		c, e := l.admit(a)
+		if e != nil || a.held != nil || c.IsQuiet() {
+			return c, e
+		}
+		l.instance.counts.linksSpoiled.Inc(1)
+		l.put(c, false)
 	}
-	c, err := l.dial(deadline)
-	if err != nil {
-		l.tokens <- struct{}{}
-		return nil, err
+}
+
+func (l *links) admit(a admission) (*endpoint.Conn, *core.Error) {
+	w := waiters.Get().(*waiter)
+	w.admission, w.link = a, nil
+	id, ok := l.arrive(w)
+	if !ok {
+		return nil, core.NewError(core.CodeNoConnection, "%s is no longer in use", l.name)
 	}
-	return c, nil
+	v := l.await(id, w)
+	waiters.Put(w)
+	return v.conn, v.err
 }
 
-func (l *links) pop() *endpoint.Conn {
+// arrive hands a statement to the gate; it returns false when the endpoint is no
+// longer in use.
+func (l *links) arrive(w *waiter) (uint64, bool) {
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := len(l.idle)
-	if n == 0 {
-		return nil
+	if l.closed {
+		return 0, false
 	}
-	c := l.idle[n-1]
-	l.idle = l.idle[:n-1]
-	return c
+	l.last++
+	l.waiters[l.last] = w
+	r := admit.Request{ID: l.last, Caller: w.caller, Deadline: w.deadline, Held: w.held != nil}
+	l.apply(now, l.sharing.Arrive(now, r))
+	return r.ID, true
 }
 
-func (l *links) dial(deadline time.Time) (*endpoint.Conn, *core.Error) {
-	limit := time.Now().Add(l.instance.settings.Connect)
-	if deadline.Before(limit) {
-		limit = deadline
+// await returns the verdict on a statement, at its deadline at the latest.
+func (l *links) await(id uint64, w *waiter) verdict {
+	select {
+	case v := <-w.verdict:
+		return v
+	default:
+	}
+	timer := time.NewTimer(time.Until(w.deadline))
+	defer timer.Stop()
+	select {
+	case v := <-w.verdict:
+		return v
+	case <-timer.C:
+		return l.expired(id, w)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
-	defer cancel()
-	c, err := endpoint.Dial(ctx, l.name, l.address, l.instance.login())
-	if err == nil {
-		return c, nil
+}
+
+// expired takes back a statement whose deadline passed, unless it has just started.
+func (l *links) expired(id uint64, w *waiter) verdict {
+	l.mu.Lock()
+	if l.sharing.Cancel(time.Now(), id) {
+		delete(l.waiters, id)
+		w.verdict <- verdict{err: core.NewError(core.CodeOverloaded, "%s had no slot in time", l.name).WithRetry(doubtAfter)}
 	}
-	l.evidence(err)
-	var s *endpoint.ServerError
-	if errors.As(err, &s) && s.State == stateTooManyConnections {
-		return nil, core.NewError(core.CodeNoConnection, "%s takes no more connections", l.name)
+	l.mu.Unlock()
+	return <-w.verdict
+}
+
+// connect takes a connection for a statement that is about to start; it is
+// called under the lock.
+func (l *links) connect(now time.Time, r admit.Request) bool {
+	w := l.waiters[r.ID]
+	n, ok := l.connections.Acquire(now, w.work)
+	if !ok {
+		return false
 	}
-	return nil, core.NewError(core.CodeNoConnection, "could not connect to %s", l.name)
+	w.link = l.conns[n]
+	return true
 }
 
-// put gives a connection back; one that is not clean is closed.
+// pause gives back the slot of a transaction between two statements.
+func (l *links) pause(c *endpoint.Conn) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.uses[c]
+	l.connections.Expect(now, u.number, pool.WorkTransaction, time.Time{})
+	request := u.request
+	u.request = 0
+	l.apply(now, l.sharing.Finish(now, request))
+}
+
+// put gives a connection back with its slot; one that is not clean is closed.
 func (l *links) put(c *endpoint.Conn, clean bool) {
+	now := time.Now()
 	l.mu.Lock()
-	if clean && c.Err() == nil && !l.closed {
-		l.idle = append(l.idle, c)
-	} else {
-		c.Close()
+	defer l.mu.Unlock()
+	u := l.uses[c]
+	if u == nil {
+		return
 	}
-	l.mu.Unlock()
-	l.tokens <- struct{}{}
+	delete(l.uses, c)
+	ending := pool.Ending{Clean: clean && c.IsQuiet() && !l.closed, Altered: c.Altered}
+	actions := l.connections.Release(now, u.number, ending)
+	if len(actions) == 1 && actions[0].Do == pool.DoReset {
+		go l.reset(u)
+		return
+	}
+	request := u.request
+	u.request = 0
+	l.perform(actions)
+	l.apply(now, l.sharing.Finish(now, request))
 }
 
-// close closes the idle connections; those in use are closed when put back.
+// close closes the connections that are not in use; the others are closed when
+// they are put back. Statements that wait are refused.
 func (l *links) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
-	for _, c := range l.idle {
-		c.Close()
+	l.refuseWaiting(time.Now(), core.NewError(core.CodeNoConnection, "%s is no longer in use", l.name))
+	for n, c := range l.conns {
+		if l.uses[c.conn] == nil {
+			l.drop(n)
+		}
+	}
+	if l.timer != nil {
+		l.timer.Stop()
 	}
-	l.idle = nil
 }
 
 // share returns how many connections may be in use.
-func (l *links) share() int { return cap(l.tokens) }
+func (l *links) share() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.connections.Limit(time.Now())
+}
+
+// busy returns how many statements run or wait.
+func (l *links) busy() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sharing.Running() + l.sharing.Waiting()
+}
 
-// busy returns how many connections are in use.
-func (l *links) busy() int { return cap(l.tokens) - len(l.tokens) }
+func (l *links) dump() LinksDump {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return LinksDump{
+		Share:    l.connections.Limit(now),
+		Open:     l.connections.Open(),
+		Busy:     len(l.uses),
+		Idle:     l.connections.Count(pool.StateIdle),
+		Doubted:  l.connections.Count(pool.StateDoubted),
+		Running:  l.sharing.Running(),
+		Waiting:  l.sharing.Waiting(),
+		Own:      l.sharing.Own(now),
+		Borrowed: l.sharing.Borrowed(now),
+	}
+}
--- a/instance/write.go
+++ b/instance/write.go
@@ -62,12 +62,7 @@
 // on takes a connection to a member for a unit. One on which something waits to
 // be read is not used: it ended, or carries an answer to something else.
 func (s *session) on(u *unit, m *Member, term uint64) (*work, *core.Error) {
-	conn, e := m.links.get(u.deadline)
-	for e == nil && !conn.IsQuiet() {
-		s.instance.counts.linksSpoiled.Inc(1)
-		m.links.put(conn, false)
-		conn, e = m.links.get(u.deadline)
-	}
+	conn, e := m.links.get(admission{caller: s.login.Caller, deadline: u.deadline, work: workOf(u)})
 	if e != nil {
 		return nil, e
 	}
@@ -104,6 +99,7 @@
 	if o.status != 'I' {
 		w.session.held = &hold{conn: w.conn, links: w.member.links, term: w.term}
 		w.session.finish()
+		w.member.links.pause(w.conn)
 		return false, w.session.ready(o.status)
 	}
 	if o.failure == "" && w.unit.simple && isSet(w.unit.sql) {
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -31,6 +31,9 @@
 	Unnamed string
 	// Session describes the session state that was set at the other end.
 	Session string
+	// Altered tells that the session state may differ from what Session, Named
+	// and Unnamed say; Reset mends it.
+	Altered bool
 
 	conn     net.Conn
 	frontend *pgproto3.Frontend
@@ -40,6 +43,7 @@
 	key pgproto3.BackendKeyData
 	// number is the number of the last status request; empty when it had none.
 	number string
+	quiet  *quiet
 	// broken is the first failure of the connection, or nil.
 	broken error
 }
@@ -68,6 +72,7 @@
 		Address:  address,
 		Named:    make(map[string]struct{}),
 		conn:     nc,
+		quiet:    newQuiet(nc),
 		frontend: pgproto3.NewFrontend(nc, nc),
 	}
 	c.frontend.SetMaxBodyLen(maxAnswerBytes)
@@ -151,11 +156,9 @@
 	return c.broken
 }
 
-// Close ends the connection at once.
-func (c *Conn) Close() {
-	_ = c.fail(net.ErrClosed)
-	_ = c.conn.Close()
-}
+// Close ends the connection at once; every later use fails. It may be called
+// from another goroutine.
+func (c *Conn) Close() { _ = c.conn.Close() }
 
 // Cancel asks the endpoint, over a connection of its own, to stop the statement
 // that runs on c. It may be called from another goroutine.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -18,7 +18,7 @@
 // The defaults of a client.
 const (
 	defaultTimeout = time.Second
-	maxIdleSockets = 2
+	maxIdleSockets = 64
 )
 
 // Client calls other instances.
--- a/standin/rig/rig.go
+++ b/standin/rig/rig.go
@@ -30,6 +30,9 @@
 // Patience bounds every wait; no script depends on its length.
 const Patience = 20 * time.Second
 
+// probe is the name of the session that finds out whether an instance is ready.
+const probe = "probe"
+
 // Password is the password of every caller.
 const Password = "secret"
 
@@ -39,6 +42,8 @@
 	Sessions map[string]*pgx.Conn
 	// Config is the configuration that instances start with.
 	Config patch.Config
+	// Limits replace those of Config that are above zero; it is read by Start.
+	Limits patch.Limits
 
 	t         testing.TB
 	endpoints map[string]*process
@@ -140,6 +145,9 @@
 		},
 		Limits: patch.Limits{Deadline: patch.Duration(Patience), TransactionIdle: patch.Duration(Patience), Queue: 100},
 	}
+	if r.Limits.TransactionIdle > 0 {
+		r.Config.Limits.TransactionIdle = r.Limits.TransactionIdle
+	}
 	for i := range instances {
 		r.StartInstance(fmt.Sprintf("i%d", i+1))
 	}
@@ -159,7 +167,9 @@
 	in := instance.New(s, instance.WithLog(log), instance.WithWatch(r.watch))
 	r.instances[name] = p
 	r.spawn(p, in.Serve)
-	r.Until("instance "+name+" listens", func() bool { return canDial(p.address) })
+	r.Until("instance "+name+" takes callers", func() bool { return r.Connect(probe, "valuer", name, nil) == nil })
+	_ = r.Sessions[probe].Close(context.Background())
+	delete(r.Sessions, probe)
 }
 
 func (r *Rig) watch(ctx context.Context, after uint64) (uint64, *patch.Config, error) {
@@ -170,15 +180,6 @@
 	return 0, nil, ctx.Err()
 }
 
-func canDial(a netip.AddrPort) bool {
-	c, err := net.Dial("tcp", a.String())
-	if err != nil {
-		return false
-	}
-	_ = c.Close()
-	return true
-}
-
 // Until waits for a condition.
 func (r *Rig) Until(what string, met func() bool) {
 	r.t.Helper()
