Bound the spoiled connections that one statement goes through

Change: eight at most, then refused with 2005 and when to come back. The test's endpoint sent an answer that nobody asked for right after the start-up, which made every one of its connections spoiled; it now sends it behind the first Parse, as PostgreSQL does, and the test waits until the slots may be used.

--- a/instance/links.go
+++ b/instance/links.go
@@ -119,11 +119,15 @@
 	l.apply(now, l.sharing.Resize(now, e.Slots, queue))
 }
 
+// maxSpoiled bounds the connections that one statement finds spoiled; more of
+// them mean that the endpoint is at fault.
+const maxSpoiled = 8
+
 // get waits for a slot and a connection, which are for the caller alone until
 // the connection is put back. A connection on which something came in while it
 // was idle is closed and never handed out.
 func (l *links) get(a admission) (*endpoint.Conn, *core.Error) {
-	for {
+	for range maxSpoiled {
 		c, e := l.admit(a)
 		if e != nil || a.held != nil || c.IsQuiet() {
 			return c, e
@@ -131,6 +135,7 @@
 		l.instance.counts.linksSpoiled.Inc(1)
 		l.put(c, false)
 	}
+	return nil, core.NewError(core.CodeNoConnection, "connections to %s carry answers that nobody asked for", l.name).WithRetry(connectPause)
 }
 
 func (l *links) admit(a admission) (*endpoint.Conn, *core.Error) {
--- a/instance/read_test.go
+++ b/instance/read_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"anviltack/core"
 	"anviltack/core/mark"
 	"anviltack/core/patch"
+	"anviltack/core/pool"
 	"anviltack/io/caller"
 	"anviltack/settings"
 )
@@ -87,7 +89,7 @@
 	}
 	_, _ = io.CopyN(io.Discard, nc, int64(binary.BigEndian.Uint32(start))-4)
 	_, _ = nc.Write(encode(t, &pgproto3.AuthenticationOk{}, &pgproto3.ReadyForQuery{TxStatus: 'I'}))
-	_, _ = nc.Write(encode(t, &pgproto3.ParseComplete{}))
+	begun := false
 	header, body := make([]byte, 5), make([]byte, 4096)
 	for {
 		if _, err := io.ReadFull(nc, header); err != nil {
@@ -97,6 +99,10 @@
 		if _, err := io.ReadFull(nc, body[:n]); err != nil {
 			return
 		}
+		if header[0] == 'P' && !begun {
+			begun = true
+			_, _ = nc.Write(encode(t, &pgproto3.ParseComplete{}))
+		}
 		if header[0] != 'Q' || f.mute {
 			continue
 		}
@@ -144,6 +150,10 @@
 	g.publish(&GroupState{Term: 1, Members: map[core.Endpoint]*Member{"r": m}})
 	database := patch.Database{Group: "g", Kinds: map[core.Kind]patch.Kind{"series": {Age: patch.Duration(time.Hour)}}}
 	in.view.Store(&View{Config: &patch.Config{Databases: map[core.Database]patch.Database{"index": database}}, Groups: map[core.Group]*Group{"g": g}})
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go func() { _ = (&keeper{instance: in}).Serve(ctx) }()
+	awaitSlot(t, m)
 	out := &sink{}
 	s := &session{
 		sessionEntry: &sessionEntry{}, instance: in, group: g, database: database,
@@ -152,10 +162,22 @@
 		marks: mark.New(now), reads: reads{router: in.newRouter()},
 	}
 	s.marks.Raise("g", core.Point{Term: 1, Position: 50}, now)
+	now = time.Now()
 	u := &unit{simple: true, sql: "SELECT value FROM item WHERE key = 'a'", executions: 1, arrived: now, deadline: now.Add(time.Hour), annotation: annotation{kind: "series"}}
 	return s, u, out
 }
 
+// awaitSlot waits until the instance may use the member's slots, which rest after
+// a start.
+func awaitSlot(t testing.TB, m *Member) {
+	t.Helper()
+	c, e := m.links.get(admission{deadline: time.Now().Add(time.Hour), work: pool.WorkRead})
+	if e != nil {
+		t.Fatal(e)
+	}
+	m.links.put(c, true)
+}
+
 // sound are the answers of an endpoint without a fault.
 var sound = fixedAnswers{after: core.Point{Term: 1, Position: 50}}
 
@@ -196,7 +218,7 @@
 	state := s.group.State()
 	m := *state.Members["r"]
 	m.Name = "silent"
-	m.links = newLinks(s.instance, m.Name, patch.Endpoint{Address: netip.MustParseAddrPort(silent.Addr().String()), Connections: 20})
+	m.links = newLinks(s.instance, m.Name, patch.Endpoint{Address: netip.MustParseAddrPort(silent.Addr().String()), Slots: 3, Connections: 20})
 	m.links.evidence = func(error) {}
 	m.load = newLoad()
 	s.instance.settings.Connect = 50 * time.Millisecond
