Never hand out a port twice in the tests of processes

Ports drawn at random met twice in one of six runs with three endpoints each ("stands at groups.g.endpoints.e1.address too", TestFailoverKeepsWrites under the race detector). They are counted up from a random start instead.

--- a/process/site_test.go
+++ b/process/site_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -304,11 +305,18 @@
 	lastPort  = 32000
 )
 
-// freeAddress returns a loopback address that nobody listens on.
+// nextPort is tried next; it starts anywhere, so that test runs side by side
+// seldom meet.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(lastPort - firstPort)) }
+
+// freeAddress returns a loopback address that nobody listens on and that was not
+// returned lately.
 func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
 	for range lastPort - firstPort {
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+nextPort.Add(1)%(lastPort-firstPort)))
 		if l, err := net.Listen("tcp", address.String()); err == nil {
 			_ = l.Close()
 			return address
