--- a/core/member/table.go
+++ b/core/member/table.go
@@ -14,8 +14,8 @@
 const (
 	defaultSilence  = 3 * time.Second
 	defaultForget   = time.Minute
-	defaultEveryone = 8
-	defaultRing     = 3
+	defaultEveryone = 6
+	defaultRing     = 2
 )
 
 // DefaultFanOut is to how many instances each one hands a new configuration.
--- a/process/site_test.go
+++ b/process/site_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	// The import makes the test run again when the program changes.
+	_ "anviltack/cli"
 	"anviltack/core"
 	"anviltack/core/patch"
 	"anviltack/io/caller"
