--- a/instance/beater.go
+++ b/instance/beater.go
@@ -138,6 +138,9 @@
 			return peer.Update{Version: held.Version, Document: &brief}
 		},
 		Push:     in.pushed,
+		Ask:      in.asked,
+		Return:   in.returned,
+		Recall:   in.recalled,
 		Opinion:  in.opinion,
 		Promoted: in.promoted,
 	}
--- a/instance/dump.go
+++ b/instance/dump.go
@@ -42,6 +42,11 @@
 	Term      uint64        `json:"term"`
 	Primary   core.Endpoint `json:"primary"`
 	Confirmed core.Point    `json:"confirmed"`
+	// Serving and Replicating tell whether writes are taken, and ClosedFor how
+	// long they have not been.
+	Serving     bool   `json:"serving"`
+	Replicating bool   `json:"replicating"`
+	ClosedFor   string `json:"closed_for,omitempty"`
 	// ConfirmedAge is how long ago the primary was last known to be the primary.
 	ConfirmedAge string       `json:"confirmed_age"`
 	Waiting      int64        `json:"waiting"`
@@ -64,9 +69,18 @@
 
 // LinksDump is the state of the connections to one endpoint.
 type LinksDump struct {
-	Share int `json:"share"`
-	Busy  int `json:"busy"`
-	Idle  int `json:"idle"`
+	// Share is how many connections may be open.
+	Share   int `json:"share"`
+	Open    int `json:"open"`
+	Busy    int `json:"busy"`
+	Idle    int `json:"idle"`
+	Doubted int `json:"doubted"`
+	// Running and Waiting count statements.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// Own and Borrowed count usable slots.
+	Own      int `json:"own"`
+	Borrowed int `json:"borrowed"`
 }
 
 // Dump returns the state from a copy of the view; it does not hold up traffic.
@@ -102,8 +116,13 @@
 		Primary:      s.Primary,
 		Confirmed:    s.Confirmed,
 		ConfirmedAge: age(now, s.AsOf),
+		Serving:      s.Availability.Serving,
+		Replicating:  s.Availability.Replicating,
 		Waiting:      g.waiting.Load(),
 	}
+	if !s.Availability.IsOpen() {
+		d.ClosedFor = age(now, s.Availability.Since)
+	}
 	for _, m := range s.Members {
 		d.Members = append(d.Members, MemberDump{
 			Endpoint:   m.Name,
@@ -120,12 +139,6 @@
 	return d
 }
 
-func (l *links) dump() LinksDump {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return LinksDump{Share: cap(l.tokens), Busy: cap(l.tokens) - len(l.tokens), Idle: len(l.idle)}
-}
-
 // age returns the time since t as text, "never" for the zero time.
 func age(now, t time.Time) string {
 	if t.IsZero() {
--- a/instance/session.go
+++ b/instance/session.go
@@ -18,6 +18,10 @@
 // configuration states a deadline.
 const defaultDeadline = 5 * time.Second
 
+// defaultTransactionIdle bounds how long a caller may be idle in a transaction
+// when the configuration states nothing.
+const defaultTransactionIdle = 30 * time.Second
+
 // session is one caller's session; only its own goroutine touches it, but for
 // the fields in sessionEntry.
 type session struct {
@@ -91,6 +95,9 @@
 		return nil, draining()
 	}
 	view := in.View()
+	if view.Version == 0 {
+		return nil, core.NewError(core.CodeNoGroup, "no configuration is in force yet").WithRetry(connectPause)
+	}
 	known := view.Config.Callers[login.Caller]
 	if err := conn.Authenticate(known.Secret); err != nil {
 		return nil, err
@@ -157,13 +164,20 @@
 		if s.held == nil && s.instance.isDraining() {
 			return draining()
 		}
+		s.awaitTransaction()
 		u, err := s.nextUnit()
+		if s.held != nil && caller.IsTimeout(err) {
+			return core.NewError(core.CodeTransactionIdle, "the transaction was idle for too long and was rolled back")
+		}
 		if err != nil && s.isEnding() {
 			return draining()
 		}
 		if err != nil || u == nil {
 			return err
 		}
+		if s.held != nil {
+			s.conn.SetReadDeadline(time.Time{})
+		}
 		u.deadline = u.arrived.Add(s.limit(u.annotation))
 		if err := s.serveUnit(u); err != nil {
 			return err
@@ -177,6 +191,18 @@
 	return core.NewError(core.CodeDraining, "the instance is stopping, connect again")
 }
 
+// awaitTransaction bounds the wait for the next statement of an open transaction.
+func (s *session) awaitTransaction() {
+	if s.held == nil {
+		return
+	}
+	limit := time.Duration(s.instance.View().Config.Limits.TransactionIdle)
+	if limit <= 0 {
+		limit = defaultTransactionIdle
+	}
+	s.conn.SetReadDeadline(time.Now().Add(limit))
+}
+
 // limit is how long a statement may take.
 func (s *session) limit(a annotation) time.Duration {
 	if a.deadline > 0 {
