--- a/process/site_test.go
+++ b/process/site_test.go
@@ -17,6 +17,8 @@
 	"testing"
 	"time"
 
+	// The import makes the test run again when the program changes.
+	_ "anviltack/cli"
 	"anviltack/core"
 	"anviltack/core/patch"
 	"anviltack/io/caller"
