--- a/instance/write.go
+++ b/instance/write.go
@@ -81,7 +81,7 @@
 	}
 	sentAt := time.Now()
 	w.x.unit(w.unit)
-	w.x.query(endpoint.StatusStatement)
+	w.conn.SendStatus()
 	if err := w.conn.Flush(); err != nil {
 		return false, w.lost()
 	}
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -40,8 +40,10 @@
 	// out holds encoded messages that were not sent yet.
 	out []byte
 	// key lets Cancel name this connection.
-	key   pgproto3.BackendKeyData
-	quiet *quiet
+	key pgproto3.BackendKeyData
+	// number is the number of the last status request; empty when it had none.
+	number string
+	quiet  *quiet
 	// broken is the first failure of the connection, or nil.
 	broken error
 }
