--- a/instance/gate.go
+++ b/instance/gate.go
@@ -138,9 +138,11 @@
 	return ctx.Err()
 }
 
-// workOf returns what kind of work a unit outside a transaction is.
+// workOf returns what kind of work a unit outside a transaction is. A submission
+// with a key is idempotent, so that it may leave a doubted connection as a read
+// does.
 func workOf(u *unit) pool.Work {
-	if u.isRead() {
+	if u.isRead() || u.annotation.submission != "" {
 		return pool.WorkRead
 	}
 	return pool.WorkWrite
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -62,8 +62,7 @@
 // Dial opens a connection and logs in before the context ends. Its error is a
 // *ServerError when the endpoint answered with one.
 func Dial(ctx context.Context, name core.Endpoint, address netip.AddrPort, login Login) (*Conn, error) {
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", address.String())
+	nc, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("endpoint: could not connect to %s: %w", name, err)
 	}
