--- a/core/admit/lender.go
+++ b/core/admit/lender.go
@@ -147,8 +147,8 @@
 func (l *Lender) SetMembers(now time.Time, members []core.Instance) {
 	l.touch(now)
 	var owned []*ownedSlot
-	for n := range l.slots {
-		if Owner(l.endpoint, n, members) != l.self {
+	for n, owner := range Assign(l.endpoint, l.slots, members) {
+		if owner != l.self {
 			continue
 		}
 		i := slices.IndexFunc(l.owned, func(s *ownedSlot) bool { return s.number == n })
--- a/golden/golden_test.go
+++ b/golden/golden_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
+	"net"
+	"regexp"
 	"sort"
 	"strconv"
 	"strings"
@@ -13,13 +17,14 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"anviltack/core/patch"
 	"anviltack/standin/endpoint"
 	"anviltack/standin/rig"
 )
 
 func TestSessions(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		r := script{rig.New(t)}
+		r := script{Rig: rig.New(t), running: make(map[string]chan string)}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			r.SetTest(t)
 			return r.command(d)
@@ -30,6 +35,56 @@
 // script runs the commands of one golden file.
 type script struct {
 	*rig.Rig
+	// running holds the results of the statements that were begun, by session.
+	running map[string]chan string
+}
+
+// begin runs statements beside the script until await.
+func (r script) begin(session, input string) {
+	done := make(chan string, 1)
+	r.running[session] = done
+	go func() { done <- r.exec(session, input) }()
+}
+
+// cancel sends a cancel request for a session until its statement has ended.
+func (r script) cancel(session string) string {
+	conn := r.Sessions[session].PgConn()
+	for {
+		ctx, stop := context.WithTimeout(context.Background(), rig.Patience)
+		err := conn.CancelRequest(ctx)
+		stop()
+		if err != nil {
+			return err.Error()
+		}
+		select {
+		case result := <-r.running[session]:
+			return result + "\n"
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// send sends bytes, written as hexadecimal digits, to an instance and returns the
+// codes of what comes back before it closes the connection.
+func (r script) send(instance, input string) string {
+	b, err := hex.DecodeString(strings.Join(strings.Fields(input), ""))
+	if err != nil {
+		return err.Error()
+	}
+	c, err := net.Dial("tcp", r.Callers(instance).String())
+	if err != nil {
+		return err.Error()
+	}
+	defer c.Close() //nolint:errcheck // Nothing follows.
+	if _, err := c.Write(b); err != nil {
+		return err.Error()
+	}
+	if err := c.SetReadDeadline(time.Now().Add(rig.Patience)); err != nil {
+		return err.Error()
+	}
+	answer, _ := io.ReadAll(c)
+	codes := regexp.MustCompile("AT[0-9]{4}").FindAllString(string(answer), -1)
+	return strings.Join(append(codes, "closed"), " ") + "\n"
 }
 
 // command runs one command of a script and returns what it printed.
@@ -41,6 +96,15 @@
 		return r.commandConnect(d) + "\n"
 	case "exec":
 		return r.exec(argument(d, "session"), d.Input) + "\n"
+	case "begin":
+		r.begin(argument(d, "session"), d.Input)
+		return ""
+	case "await":
+		return <-r.running[argument(d, "session")] + "\n"
+	case "cancel":
+		return r.cancel(argument(d, "session"))
+	case "send":
+		return r.send(argument(d, "instance"), d.Input)
 	case "fault":
 		r.Fault(argument(d, "endpoint"), d.Input)
 		return ""
@@ -67,6 +131,9 @@
 		return err.Error()
 	}
 	lag, _ := time.ParseDuration(argument(d, "lag"))
+	if idle, err := time.ParseDuration(argument(d, "transaction-idle")); err == nil {
+		r.Limits = patch.Limits{TransactionIdle: patch.Duration(idle)}
+	}
 	r.Start(instances, lag)
 	return ""
 }
--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -85,6 +85,7 @@
 
 // unit appends the messages of a unit.
 func (x *exchange) unit(u *unit) {
+	x.in.Altered = x.in.Altered || u.mayAlter()
 	if u.simple {
 		x.query(u.sql)
 		return
@@ -104,6 +105,7 @@
 // transaction. All of it goes by the extended protocol up to one Sync: where the
 // start fails nothing else runs, and a text of several statements is refused.
 func (x *exchange) readOnly(u *unit) {
+	x.in.Altered = x.in.Altered || u.mayAlter()
 	x.extended = true
 	x.parse(beginReadOnly, false)
 	x.in.SendEncoded(bindBeginMessage)
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -18,6 +18,12 @@
 	submissionRetries metrics.Counter
 	// linksSpoiled counts connections dropped because something waited on them.
 	linksSpoiled metrics.Counter
+	// queueRefusals counts statements that had no slot or connection in time.
+	queueRefusals metrics.Counter
+	// readsMoved counts reads taken off connections without an answer.
+	readsMoved metrics.Counter
+	// slotsBorrowed counts slots that other instances lent.
+	slotsBorrowed metrics.Counter
 }
 
 func newCounts(r metrics.Registry) counts {
@@ -32,6 +38,9 @@
 		readWaits:         metrics.NewRegisteredCounter("read_waits", r),
 		submissionRetries: metrics.NewRegisteredCounter("submission_retries", r),
 		linksSpoiled:      metrics.NewRegisteredCounter("links_spoiled", r),
+		queueRefusals:     metrics.NewRegisteredCounter("queue_refusals", r),
+		readsMoved:        metrics.NewRegisteredCounter("reads_moved", r),
+		slotsBorrowed:     metrics.NewRegisteredCounter("slots_borrowed", r),
 		failovers:         metrics.NewRegisteredCounter("failovers", r),
 		samples:           metrics.NewRegisteredCounter("samples", r),
 	}
--- a/io/endpoint/quiet.go
+++ b/io/endpoint/quiet.go
@@ -2,9 +2,33 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 )
 
+// quiet looks for bytes that wait on a connection without reading them.
+type quiet struct {
+	raw syscall.RawConn
+	// peek is kept because every statement looks.
+	peek   func(fd uintptr)
+	buffer [1]byte
+	result bool
+}
+
+func newQuiet(c net.Conn) *quiet {
+	q := &quiet{}
+	q.peek = func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), q.buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		q.result = errors.Is(err, syscall.EAGAIN)
+	}
+	if socket, ok := c.(syscall.Conn); ok {
+		if raw, err := socket.SyscallConn(); err == nil {
+			q.raw = raw
+		}
+	}
+	return q
+}
+
 // IsQuiet reports whether nothing waits to be read on a connection that is not
 // in use: no answer of an earlier statement, no answer that belongs to another
 // connection, and no end of the connection.
@@ -12,19 +36,10 @@
 	if c.broken != nil || c.frontend.ReadBufferLen() > 0 {
 		return false
 	}
-	socket, ok := c.conn.(syscall.Conn)
-	if !ok {
+	if c.quiet.raw == nil {
 		return true
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	var peeked [1]byte
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && quiet
+	c.quiet.result = false
+	err := c.quiet.raw.Control(c.quiet.peek)
+	return err == nil && c.quiet.result
 }
