--- a/core/group/attempt.go
+++ b/core/group/attempt.go
@@ -38,8 +38,8 @@
 	Reason   Reason
 	Term     uint64
 	Endpoint core.Endpoint
-	// BeganAt is when the failed primary last answered, or when it stopped
-	// being confirmed; the times after it are zero until reached.
+	// BeganAt is when the failed primary last answered, stopped being confirmed
+	// or stopped being primary; the times after it are zero until reached.
 	BeganAt     time.Time
 	SuspectedAt time.Time
 	DecidedAt   time.Time
@@ -80,7 +80,7 @@
 	m.attempt = &attempt{suspicion: s, phase: phaseAsking, startedAt: now}
 	m.attempt.report = Failover{Reason: s.reason, SuspectedAt: m.suspectedAt}
 	m.attempt.report.BeganAt = s.since
-	if e := m.member(m.primary); e != nil && s.reason != ReasonStalled {
+	if e := m.member(m.primary); e != nil && (s.reason == ReasonRefused || s.reason == ReasonSilent) {
 		m.attempt.report.BeganAt = e.answeredAt
 	}
 	if m.instances <= 1 {
@@ -192,15 +192,23 @@
 		if !ok || e.Name == without {
 			continue
 		}
-		if best == "" || m.attempt.fenced[best].Less(last) {
-			best = e.Name
-		} else if m.attempt.fenced[best] == last && m.besideSuspect(best) && !m.besideSuspect(e.Name) {
+		if best == "" || m.attempt.fenced[best].Less(last) || m.attempt.fenced[best] == last && m.isPreferred(e, m.member(best)) {
 			best = e.Name
 		}
 	}
 	return best
 }
 
+// isPreferred tells which of two equally advanced endpoints becomes the primary:
+// one that stays before one that leaves, and one in another data centre than the
+// failed primary before one in the same.
+func (m *Machine) isPreferred(a, b *member) bool {
+	if a.Leaving != b.Leaving {
+		return b.Leaving
+	}
+	return m.besideSuspect(b.Name) && !m.besideSuspect(a.Name)
+}
+
 // besideSuspect reports whether an endpoint shares the failed primary's data
 // centre.
 func (m *Machine) besideSuspect(name core.Endpoint) bool {
--- a/instance/failover.go
+++ b/instance/failover.go
@@ -25,6 +25,10 @@
 		g.waiting = n > 0
 		g.carryOut(now, g.machine.Waiting(now, n))
 	}
+	if epoch := g.control.fleet.epoch; !g.shown.availability.IsOpen() && g.epoch != epoch {
+		g.epoch = epoch
+		g.rank(now)
+	}
 	g.carryOut(now, event(now))
 	g.due = g.machine.NextTick()
 	g.report()
@@ -89,7 +93,8 @@
 	return rank, others
 }
 
-// rank brings the machine's rank up to date with the fleet.
+// rank brings the machine's rank up to date with the fleet. It matters only while
+// the group takes no writes.
 func (g *groupControl) rank(now time.Time) {
 	rank, others := g.others(now)
 	g.machine.SetRank(rank, len(others)+1)
@@ -200,7 +205,7 @@
 func (g *groupControl) groupMembers() []group.Member {
 	members := make([]group.Member, 0, len(g.members))
 	for name, m := range g.members {
-		members = append(members, group.Member{Name: name, DataCentre: m.config.DataCentre})
+		members = append(members, group.Member{Name: name, DataCentre: m.config.DataCentre, Leaving: m.config.Leaving})
 	}
 	slices.SortFunc(members, func(a, b group.Member) int {
 		if a.Name < b.Name {
--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -38,7 +38,7 @@
 	// leavingIndex; both never go back to a lower index.
 	leaving      []core.Endpoint
 	leavingIndex uint64
-	// epoch is the table's epoch at the last look at the ranks.
+	// epoch changes with the instances that are ranked.
 	epoch uint64
 	// members are all instances as of membersAt.
 	members   []member.Member
@@ -177,12 +177,7 @@
 }
 
 func (f *fleet) publish(now time.Time) {
-	if e := f.table.Epoch(now); e != f.epoch {
-		f.epoch = e
-		for _, g := range f.control.groups {
-			g.rank(now)
-		}
-	}
+	f.epoch = f.table.Epoch(now)
 	if now.Sub(f.membersAt) >= membersPeriod {
 		f.members, f.membersAt = f.table.Members(now), now
 	}
--- a/instance/group.go
+++ b/instance/group.go
@@ -31,6 +31,8 @@
 	// their begin and at their end.
 	suspected uint64
 	reported  uint64
+	// epoch is the fleet's when machine was last told its rank.
+	epoch uint64
 	// shown is what was published last.
 	shown   shown
 	tracker *mark.Tracker
@@ -85,7 +87,6 @@
 	}
 	g.track()
 	g.publish()
-	g.rank(now)
 	g.step(now, func(now time.Time) []group.Action { return g.machine.Configure(now, g.groupMembers()) })
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -37,9 +37,10 @@
 	platform   platform.Platform
 	list       platform.List
 	peers      *peer.Client
-	lenders    *peer.Client
-	fleet      atomic.Pointer[fleetView]
-	drainer    drainer
+	// lenders carries asks for slots, which may wait at their owner.
+	lenders *peer.Client
+	fleet   atomic.Pointer[fleetView]
+	drainer drainer
 	// listed is held while this instance's entry on the platform's list changes.
 	listed  sync.Mutex
 	started time.Time
