--- a/instance/read.go
+++ b/instance/read.go
@@ -144,7 +144,10 @@
 // got its answer; otherwise nothing was passed on and the read may go elsewhere.
 func (s *session) readOn(u *unit, state *GroupState, m *Member) (bool, error) {
 	w, e := s.on(u, m, state.Term)
-	if e != nil && e.Code == core.CodeOverloaded {
+	if isRefusal := e != nil && (e.Code == core.CodeOverloaded || e.Code == core.CodeFairShare); isRefusal {
+		if len(s.reads.failed) > 0 {
+			return false, nil
+		}
 		return true, s.refuse(e)
 	}
 	if e != nil {
--- a/instance/read_test.go
+++ b/instance/read_test.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// awaitSlots waits until the endpoint's slots, which rest at first, may be used.
+func awaitSlots(t testing.TB, l *links) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); l.dump().Own == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no slot came into use")
+		}
+		l.keep(time.Now())
+	}
+}
+
 // newReader returns a session before a group whose one replica gives fixed
 // answers, a read, and the caller's end. The replica was sampled at (1, 50).
 func newReader(t testing.TB, f fixedAnswers) (*session, *unit, *sink) {
@@ -146,6 +157,7 @@
 	}
 	m.links.evidence = func(error) {}
 	t.Cleanup(m.links.close)
+	awaitSlots(t, m.links)
 	g := &Group{Name: "g"}
 	g.publish(&GroupState{Term: 1, Members: map[core.Endpoint]*Member{"r": m}})
 	database := patch.Database{Group: "g", Kinds: map[core.Kind]patch.Kind{"series": {Age: patch.Duration(time.Hour)}}}
