--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 demo-board: build
 	bin/standin demo --site board
 
-bench:
+bench: build
 	scripts/bench
 
 clean:
--- a/core/patch/check.go
+++ b/core/patch/check.go
@@ -142,9 +142,7 @@
 func (k *checker) group(name core.Group, g Group) {
 	path := join("groups", string(name))
 	k.name(path, string(name))
-	if len(g.Endpoints)%2 == 0 {
-		k.fault(join(path, "endpoints"), fmt.Sprintf("%d endpoints", len(g.Endpoints)), "an odd number")
-	}
+	k.members(path, g.Endpoints)
 	for _, n := range sortedNames(g.Endpoints) {
 		k.endpoint(join(path, "endpoints."+string(n)), n, g.Endpoints[n])
 	}
--- a/core/patch/config.go
+++ b/core/patch/config.go
@@ -26,7 +26,8 @@
 // Group is one database group.
 type Group struct {
 	// Endpoints holds the members by name; a majority of them acknowledges a
-	// write, so their number is odd.
+	// write, so their number is odd but while one of them is replaced. A patch
+	// adds or removes at most one.
 	Endpoints map[core.Endpoint]Endpoint `json:"endpoints"`
 }
 
--- a/core/patch/document.go
+++ b/core/patch/document.go
@@ -211,6 +211,9 @@
 		return c, next, &InvalidError{Faults: []Fault{{Path: "patch", Problem: err.Error(), Allowed: "a JSON merge patch (RFC 7386)"}}}
 	}
 	next, faults := Validate(after)
+	if len(faults) == 0 {
+		faults = c.memberFaults(next)
+	}
 	if len(faults) > 0 {
 		return c, next, &InvalidError{Faults: faults}
 	}
