--- a/bench/slope_test.go
+++ b/bench/slope_test.go
@@ -169,6 +169,11 @@
 				}
 			}
 			b.ReportMetric(float64(len(encoded)), "document-bytes")
+			next, err := first.Apply(patch.Request{ID: "change", Base: first.Version, Who: "operator", Why: "age", Patch: small}, clock)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(average(func() { _, _ = first.Follow(next.Since(first.Version)) }), "ns/follow")
 		})
 	}
 }
