Tell a reused submission key from a submission that ran

Cause: a key that had been used for another statement was answered 1001, already ran, so a caller's mistake in making keys would have lost an appraisal and called it stored. golden/submission, written first, showed 1001 for another statement. Ruled out: a second key row with the digest, which needs no new column but one more statement for every submission. Change: the key is stored with a digest of the statement without its comment and of its values; another digest under the key is refused with 4010 and nothing runs. Before: AT1001. After: AT4010; golden, process, standin and instance pass.

--- a/instance/annotation.go
+++ b/instance/annotation.go
@@ -36,15 +36,8 @@
 // sqlcommenter publishes: /*name='value',name='value'*/.
 func parseAnnotation(sql string, base annotation) (annotation, *core.Error) {
 	a := base
-	text := strings.TrimRight(sql, " \t\r\n;")
-	if !strings.HasSuffix(text, "*/") {
-		return a, nil
-	}
-	start := strings.LastIndex(text, "/*")
-	if start < 0 {
-		return a, nil
-	}
-	for _, pair := range strings.Split(text[start+2:len(text)-2], ",") {
+	_, comment := cutComment(sql)
+	for _, pair := range strings.Split(comment, ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
 		if !ok {
 			continue
@@ -60,6 +53,16 @@
 	return a, nil
 }
 
+// cutComment parts a statement from the text of its trailing comment.
+func cutComment(sql string) (statement, comment string) {
+	text := strings.TrimRight(sql, " \t\r\n;")
+	start := strings.LastIndex(text, "/*")
+	if start < 0 || !strings.HasSuffix(text[start+2:], "*/") {
+		return text, ""
+	}
+	return strings.TrimRight(text[:start], " \t\r\n;"), text[start+2 : len(text)-2]
+}
+
 // set takes in one stated value; names that mean nothing here are passed over.
 func (a *annotation) set(name, value string) *core.Error {
 	switch name {
--- a/instance/submission.go
+++ b/instance/submission.go
@@ -14,7 +14,8 @@
 // writeOnce runs the unit in one transaction with its submission key.
 func (w *work) writeOnce() (bool, error) {
 	w.x.query(beginStatement)
-	w.x.query("INSERT INTO anviltack_submission (key) VALUES (" + quote(w.unit.annotation.submission) + ") ON CONFLICT DO NOTHING")
+	key, digest := quote(w.unit.annotation.submission), quote(w.unit.digest.String())
+	w.x.query("INSERT INTO anviltack_submission (key, digest) VALUES (" + key + ", " + digest + ") ON CONFLICT DO NOTHING")
 	w.conn.SendStatus()
 	if err := w.conn.Flush(); err != nil {
 		return w.lostOnce()
@@ -31,9 +32,13 @@
 	}
 	sentAt := time.Now()
 	found := o.tag == keyExistsTag
-	if found || o.failure != "" {
+	switch {
+	case found:
+		w.x.query("SELECT digest FROM anviltack_submission WHERE key = " + key)
 		w.x.query(rollbackStatement)
-	} else {
+	case o.failure != "":
+		w.x.query(rollbackStatement)
+	default:
 		w.x.unit(w.unit)
 		w.x.query(commitStatement)
 	}
@@ -47,11 +52,16 @@
 // finishOnce reads the answers of the transaction and answers the caller.
 func (w *work) finishOnce(found bool, failure string, sentAt time.Time) (bool, error) {
 	var o outcome
+	var stored string
 	var err error
-	if !found && failure == "" {
-		if o, err = w.x.answer(); err != nil {
-			return w.lostOnce()
-		}
+	switch {
+	case found:
+		stored, err = w.conn.ReceiveValue()
+	case failure == "":
+		o, err = w.x.answer()
+	}
+	if err != nil {
+		return w.lostOnce()
 	}
 	end, err := w.x.skip()
 	if err != nil {
@@ -67,6 +77,8 @@
 	}
 	w.release(true)
 	switch {
+	case found && stored != w.unit.digest.String():
+		return false, w.session.refuse(core.NewError(core.CodeKeyReused, "another statement was submitted with this key"))
 	case found:
 		w.session.conn.SendError(caller.SeverityError, core.NewError(core.CodeAlreadyRan, "a submission with this key ran already"))
 		return false, w.session.confirm(w.unit, w.term, status, w.x)
--- a/instance/unit.go
+++ b/instance/unit.go
@@ -63,6 +63,8 @@
 	// executions counts the statements that the steps run.
 	executions int
 	annotation annotation
+	// digest covers the statements of a submission.
+	digest digest
 	// fault is the first thing wrong with the unit; nothing of it may run.
 	fault *core.Error
 }
@@ -111,6 +113,9 @@
 	u.executions = 1
 	a, e := parseAnnotation(sql, s.defaults)
 	u.annotation = a
+	if a.submission != "" {
+		u.digest.add(sql)
+	}
 	if e != nil {
 		u.fail(e)
 	}
@@ -185,6 +190,7 @@
 	m.PreparedStatement = p.name
 	u.add(step{kind: stepBind, statement: p}, m)
 	u.describe(s.stated(p))
+	u.digestBind(p, m)
 }
 
 func (s *session) addDescribe(u *unit, m *pgproto3.Describe) {
--- /dev/null
+++ b/io/endpoint/value.go
@@ -0,0 +1,28 @@
+package endpoint
+
+import "github.com/jackc/pgx/v5/pgproto3"
+
+// ReceiveValue reads the whole answer to a simple query that asks for one value,
+// which is empty when there is no row.
+func (c *Conn) ReceiveValue() (string, error) {
+	var value string
+	var failure error
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return "", err
+		}
+		switch m := m.(type) {
+		case *pgproto3.DataRow:
+			if len(m.Values) != 1 {
+				failure = ErrShape
+				continue
+			}
+			value = string(m.Values[0])
+		case *pgproto3.ErrorResponse:
+			failure = &ServerError{State: m.Code, Message: m.Message}
+		case *pgproto3.ReadyForQuery:
+			return value, failure
+		}
+	}
+}
--- a/standin/endpoint/execute.go
+++ b/standin/endpoint/execute.go
@@ -41,7 +41,7 @@
 	switch st.verb {
 	case verbInsert, verbSubmit, verbUpdate, verbDelete:
 		return s.runWrite(ctx, st, values)
-	case verbSelect, verbCount, verbOne, verbSleep:
+	case verbSelect, verbDigest, verbCount, verbOne, verbSleep:
 		return s.runRead(ctx, st, values)
 	}
 	return s.runBlock(ctx, st)
@@ -101,6 +101,9 @@
 		change.Key, change.Delete = values[0], true
 	case verbSubmit:
 		change.Table, change.Key = TableSubmission, values[0]
+		if len(values) > 1 {
+			change.Value = values[1]
+		}
 	}
 	r := row{table: change.Table, key: change.Key}
 	if err := s.lock(ctx, r); err != nil {
@@ -123,8 +126,12 @@
 
 func (s *session) runRead(ctx context.Context, st statement, values []string) (result, error) {
 	switch st.verb {
-	case verbSelect:
-		value, found := s.look(row{table: TableItem, key: values[0]})
+	case verbSelect, verbDigest:
+		r := row{table: TableItem, key: values[0]}
+		if st.verb == verbDigest {
+			r.table = TableSubmission
+		}
+		value, found := s.look(r)
 		if !found {
 			return result{tag: "SELECT 0"}, nil
 		}
--- a/standin/endpoint/statement.go
+++ b/standin/endpoint/statement.go
@@ -14,6 +14,7 @@
 	verbEmpty      verb = "empty"
 	verbInsert     verb = "insert"
 	verbSubmit     verb = "submit"
+	verbDigest     verb = "digest"
 	verbUpdate     verb = "update"
 	verbDelete     verb = "delete"
 	verbSelect     verb = "select"
@@ -42,6 +43,8 @@
 }{
 	{"INSERT INTO ITEM ( KEY , VALUE ) VALUES ( ? , ? )", verbInsert, "INSERT 0 1"},
 	{"INSERT INTO ANVILTACK_SUBMISSION ( KEY ) VALUES ( ? ) ON CONFLICT DO NOTHING", verbSubmit, "INSERT 0 1"},
+	{"INSERT INTO ANVILTACK_SUBMISSION ( KEY , DIGEST ) VALUES ( ? , ? ) ON CONFLICT DO NOTHING", verbSubmit, "INSERT 0 1"},
+	{"SELECT DIGEST FROM ANVILTACK_SUBMISSION WHERE KEY = ?", verbDigest, "SELECT 1"},
 	{"UPDATE ITEM SET VALUE = ? WHERE KEY = ?", verbUpdate, "UPDATE 1"},
 	{"DELETE FROM ITEM WHERE KEY = ?", verbDelete, "DELETE 1"},
 	{"SELECT VALUE FROM ITEM WHERE KEY = ?", verbSelect, "SELECT 1"},
@@ -168,6 +171,8 @@
 	switch s.verb {
 	case verbSelect:
 		return []column{{"value", pgtype.TextOID}}
+	case verbDigest:
+		return []column{{"digest", pgtype.TextOID}}
 	case verbCount:
 		return []column{{"count", pgtype.Int8OID}}
 	case verbOne:
