Let open sessions follow the configuration

Cause: reading the session from start to end showed that it kept the database, the group and the right to reach them from its log-in on, so that a patch was not in force on open sessions. golden/revoked, written first, showed a caller that was taken out reading on. Ruled out: ending its sessions at once, which would cut off open transactions. Change: between transactions a session looks at the version and takes in its database and group anew, or ends with 4008. Before: SELECT 1 1 for the caller taken out. After: FATAL 42501 AT4008; an open transaction still commits. golden, instance and process pass. Besides, the refusal of a read that failed counts tries and not endpoints.

--- a/golden/golden_test.go
+++ b/golden/golden_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"regexp"
 	"sort"
@@ -17,6 +18,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"anviltack/core"
 	"anviltack/core/patch"
 	"anviltack/standin/endpoint"
 	"anviltack/standin/rig"
@@ -110,6 +112,9 @@
 		return ""
 	case "kill":
 		return r.commandKill(d)
+	case "revoke":
+		r.revoke(core.Caller(argument(d, "user")), argument(d, "instance"))
+		return ""
 	case "await-primary":
 		not := argument(d, "not")
 		r.Until("a new primary", func() bool { p := r.Primary(); return p != "" && p != not })
@@ -156,6 +161,16 @@
 	return "connected"
 }
 
+// revoke takes a caller out of the configuration and waits until an instance
+// has the change in force.
+func (r script) revoke(user core.Caller, instance string) {
+	c := r.Config
+	c.Callers = maps.Clone(c.Callers)
+	delete(c.Callers, user)
+	r.Configure(c)
+	r.Until("the caller is unknown", func() bool { return r.Connect("revoked", string(user), instance, nil) != nil })
+}
+
 // commandKill ends an endpoint or an instance.
 func (r script) commandKill(d *datadriven.TestData) string {
 	if name := argument(d, "endpoint"); name != "" {
--- a/instance/read.go
+++ b/instance/read.go
@@ -76,7 +76,7 @@
 		s.instance.counts.readRetries.Inc(1)
 		s.reads.failed = append(s.reads.failed, c.Endpoint)
 	}
-	return s.refuse(readFailed("the read failed on %d endpoints", maxReadTries))
+	return s.refuse(readFailed("the read failed %d times", maxReadTries))
 }
 
 // refusal returns what to tell a caller whose read ran out of time: that it
@@ -89,11 +89,7 @@
 }
 
 func (s *session) kind(name core.Kind) (patch.Kind, *core.Error) {
-	database, ok := s.instance.View().Config.Databases[s.login.Database]
-	if !ok {
-		database = s.database
-	}
-	kind, ok := database.Kinds[name]
+	kind, ok := s.database.Kinds[name]
 	if !ok {
 		return kind, core.NewError(core.CodeUnknownKind, "database %s has no kind %q", s.login.Database, name)
 	}
--- a/instance/session.go
+++ b/instance/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -31,6 +32,8 @@
 	login    caller.Login
 	database patch.Database
 	group    *Group
+	// version is the configuration's version that database and group are of.
+	version uint64
 	// defaults are what the session's parameters state.
 	defaults annotation
 	// marks are the points that reads of this session must cover.
@@ -102,12 +105,9 @@
 	if err := conn.Authenticate(known.Secret); err != nil {
 		return nil, err
 	}
-	database, ok := view.Config.Databases[login.Database]
-	if !ok {
-		return nil, core.NewError(core.CodeUnknownDatabase, "database %q does not exist", login.Database)
-	}
-	if !mayReach(known, login.Database) {
-		return nil, core.NewError(core.CodeNotAllowed, "caller %q may not reach database %q", login.Caller, login.Database)
+	database, e := view.find(login)
+	if e != nil {
+		return nil, e
 	}
 	s := &session{
 		instance: in,
@@ -115,6 +115,7 @@
 		login:    login,
 		database: database,
 		group:    view.Groups[database.Group],
+		version:  view.Version,
 		marks:    mark.New(time.Now()),
 		reads:    reads{router: in.newRouter()},
 		prepared: make(map[string]*prepared),
@@ -136,13 +137,31 @@
 	return s, nil
 }
 
-func mayReach(c patch.Caller, d core.Database) bool {
-	for _, allowed := range c.Databases {
-		if allowed == d {
-			return true
-		}
+// find returns the database of a log-in, or why the caller may not reach it.
+func (v *View) find(l caller.Login) (patch.Database, *core.Error) {
+	database, ok := v.Config.Databases[l.Database]
+	if !ok {
+		return database, core.NewError(core.CodeUnknownDatabase, "database %q does not exist", l.Database)
+	}
+	if !slices.Contains(v.Config.Callers[l.Caller].Databases, l.Database) {
+		return database, core.NewError(core.CodeNotAllowed, "caller %q may not reach database %q", l.Caller, l.Database)
 	}
-	return false
+	return database, nil
+}
+
+// follow takes in a new configuration between transactions; its error ends the
+// session of a caller that may no longer reach the database.
+func (s *session) follow() error {
+	view := s.instance.View()
+	if view.Version == s.version || s.held != nil {
+		return nil
+	}
+	database, e := view.find(s.login)
+	if e != nil {
+		return e
+	}
+	s.database, s.group, s.version = database, view.Groups[database.Group], view.Version
+	return nil
 }
 
 func welcomeParameters(marks *mark.Marks) []pgproto3.ParameterStatus {
@@ -178,6 +197,9 @@
 		if s.held != nil {
 			s.conn.SetReadDeadline(time.Time{})
 		}
+		if err := s.follow(); err != nil {
+			return err
+		}
 		u.deadline = u.arrived.Add(s.limit(u.annotation))
 		if err := s.serveUnit(u); err != nil {
 			return err
--- a/standin/rig/rig.go
+++ b/standin/rig/rig.go
@@ -49,6 +49,12 @@
 	endpoints map[string]*process
 	instances map[string]*process
 	running   sync.WaitGroup
+
+	mu sync.Mutex
+	// version numbers the configuration; instances take in each change of it.
+	version uint64
+	// changed is closed and replaced with each version.
+	changed chan struct{}
 }
 
 // process is one stand-in or instance that runs in this test.
@@ -66,6 +72,8 @@
 		endpoints: make(map[string]*process),
 		instances: make(map[string]*process),
 		Sessions:  make(map[string]*pgx.Conn),
+		changed:   make(chan struct{}),
+		version:   1,
 	}
 	t.Cleanup(r.close)
 	return r
@@ -172,12 +180,30 @@
 	delete(r.Sessions, probe)
 }
 
+// Configure puts a configuration into force on every instance.
+func (r *Rig) Configure(c patch.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Config = c
+	r.version++
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 func (r *Rig) watch(ctx context.Context, after uint64) (uint64, *patch.Config, error) {
-	if after == 0 {
-		return 1, &r.Config, nil
+	for {
+		r.mu.Lock()
+		version, config, changed := r.version, r.Config, r.changed
+		r.mu.Unlock()
+		if version > after {
+			return version, &config, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return 0, nil, ctx.Err()
+		}
 	}
-	<-ctx.Done()
-	return 0, nil, ctx.Err()
 }
 
 // Until waits for a condition.
