Charge retries to a budget, and drop what nothing uses

Cause: Budget was written but bounded nothing, so that reads and submissions could be sent up to five times each while an endpoint fails for everyone. Ruled out: charging writes that a replaced primary refused, which wait for the failover and would be refused for want of a retry just then.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -33,6 +33,7 @@
 	configured chan struct{}
 	control    *control
 	sessions   *sessions
+	retries    *retries
 	watch      Watch
 	platform   platform.Platform
 	list       platform.List
@@ -77,6 +78,7 @@
 		log:        logrus.New(),
 		metrics:    metrics.NewRegistry(),
 		sessions:   newSessions(),
+		retries:    newRetries(),
 		configured: make(chan struct{}),
 		peers:      peer.NewClient(peerToken(s)),
 		lenders:    peer.NewClient(peerToken(s), peer.WithTimeout(lendTimeout)),
--- a/instance/read.go
+++ b/instance/read.go
@@ -73,6 +73,9 @@
 		if done || err != nil {
 			return err
 		}
+		if !s.instance.retries.take() {
+			return s.refuse(readFailed("the read failed and no retry is left"))
+		}
 		s.instance.counts.readRetries.Inc(1)
 		s.reads.failed = append(s.reads.failed, c.Endpoint)
 	}
@@ -85,7 +88,7 @@
 	if len(r.failed) == 0 || e.Code != core.CodeNoFreshReplica {
 		return e
 	}
-	return readFailed("the read failed on %d endpoints until its deadline", len(r.failed))
+	return readFailed("the read failed %d times", len(r.failed))
 }
 
 func (s *session) kind(name core.Kind) (patch.Kind, *core.Error) {
--- a/instance/session.go
+++ b/instance/session.go
@@ -239,6 +239,7 @@
 // serveUnit answers one unit; its error ends the session.
 func (s *session) serveUnit(u *unit) error {
 	s.instance.counts.statements.Inc(1)
+	s.instance.retries.try()
 	if u.fault != nil && s.held == nil {
 		return s.refuse(u.fault)
 	}
--- a/instance/submission.go
+++ b/instance/submission.go
@@ -97,7 +97,7 @@
 // idempotent, so it is sent again while there is time: if it ran, the key is
 // found.
 func (w *work) lostOnce() (bool, error) {
-	if w.last || !time.Now().Before(w.unit.deadline) {
+	if w.last || !time.Now().Before(w.unit.deadline) || !w.session.instance.retries.take() {
 		return false, w.lost()
 	}
 	w.x.retract()
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -32,9 +32,6 @@
 	// creates. False without an error means that the index was another one. An
 	// error with OutcomeUnknown means that the swap may have happened.
 	Swap func(ctx context.Context, key string, index uint64, value []byte) (bool, error)
-	// Lease takes a lease on a key that ends by itself after ttl; it fails with
-	// ErrHeld while another holder has it.
-	Lease func(ctx context.Context, key string, ttl time.Duration) (*Lease, error)
 	// Watch waits until a key changes after an index, or for some time, and
 	// reads it.
 	Watch func(ctx context.Context, key string, after uint64) (Entry, error)
@@ -89,9 +86,6 @@
 	return errors.As(err, &e) && e.Outcome == OutcomeUnknown
 }
 
-// ErrHeld tells that another holder has the lease.
-var ErrHeld = errors.New("platform: the lease is held")
-
 // The defaults of a client.
 const (
 	defaultTimeout = 2 * time.Second
@@ -137,7 +131,7 @@
 
 // Platform returns the key-value service.
 func (c *Client) Platform() Platform {
-	return Platform{Get: c.get, Swap: c.swap, Lease: c.lease, Watch: c.watch}
+	return Platform{Get: c.get, Swap: c.swap, Watch: c.watch}
 }
 
 // List returns the list of instances.
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -168,16 +168,3 @@
 	is.Equal(got, []member.Listing{want})
 	is.NoErr(l.Deregister(ctx, "a"))
 }
-
-func TestLease(t *testing.T) {
-	is := is.New(t)
-	f := &fake{}
-	p := New([]netip.AddrPort{serve(t, f)}).Platform()
-	ctx := context.Background()
-	l, err := p.Lease(ctx, "k", 10*time.Second)
-	is.NoErr(err)
-	is.NoErr(l.Renew(ctx))
-	_, err = p.Lease(ctx, "k", 10*time.Second)
-	is.Equal(err, ErrHeld)
-	is.NoErr(l.Release(ctx))
-}
