--- a/core/member/table.go
+++ b/core/member/table.go
@@ -94,11 +94,13 @@
 // List takes in the platform's list.
 func (t *Table) List(now time.Time, list []Listing) {
 	t.owed = nil
+	t.self.Listed = false
 	for _, r := range t.records {
 		r.Listed, r.leavingList = false, false
 	}
 	for _, l := range list {
 		if l.Instance == t.self.Instance {
+			t.self.Listed = true
 			continue
 		}
 		r := t.record(now, l.Instance)
