Bound what one session and one endpoint connection may gather

Cause: reading as a newcomer found four sizes without a bound: the prepared statements that a pooled connection gathers at its endpoint over many sessions, the texts of one session's prepared statements (1,000 of 16 MiB), a batch without Sync (10,000 messages of 16 MiB), and steps kept behind a fault. Besides, an unnamed statement was known by its text alone, though another session may have prepared the text with other parameter types. Change: a connection with 500 statements is reset before its next use; 32 MiB of prepared texts a session; 64 MiB a batch; nothing is kept behind a fault; an unnamed statement is known by its whole message. Two lookups that stood twice are one.

--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -8,6 +8,10 @@
 	"anviltack/io/endpoint"
 )
 
+// maxNamed is how many prepared statements a connection gathers at its endpoint
+// before it is reset.
+const maxNamed = 500
+
 // streamBytes is how much of an answer is held before it is passed on.
 const streamBytes = 64 << 10
 
@@ -125,7 +129,7 @@
 	x.in.SendEncoded(bindMessage)
 	x.in.SendEncoded(describePortalMessage)
 	x.in.SendEncoded(executeMessage)
-	x.in.Unnamed = sql
+	x.in.Unnamed = ""
 	x.replies = append(x.replies,
 		reply{kind: stepParse}, reply{kind: stepBind},
 		reply{kind: stepDescribePortal, forward: true, hideNoData: true}, reply{kind: stepExecute, forward: true})
@@ -148,7 +152,7 @@
 
 // parse makes a statement known at the endpoint unless it is.
 func (x *exchange) parse(p *prepared, forward bool) {
-	known := p.name == "" && x.in.Unnamed == p.sql && !forward
+	known := p.name == "" && x.in.Unnamed == string(p.encoded) && !forward
 	if p.name != "" {
 		_, known = x.in.Named[p.name]
 	}
@@ -161,10 +165,13 @@
 	x.in.SendEncoded(p.encoded)
 	x.replies = append(x.replies, reply{kind: stepParse, forward: forward, statement: p})
 	if p.name == "" {
-		x.in.Unnamed = p.sql
+		x.in.Unnamed = string(p.encoded)
 		return
 	}
 	x.in.Named[p.name] = struct{}{}
+	if len(x.in.Named) >= maxNamed {
+		x.in.Altered = true
+	}
 }
 
 // skip reads the whole answer to a simple query that is not the caller's.
--- a/instance/session.go
+++ b/instance/session.go
@@ -44,6 +44,8 @@
 	unreported bool
 	reads      reads
 	prepared   map[string]*prepared
+	// preparedBytes is the length of the parse messages in prepared.
+	preparedBytes int
 	// state is what the caller set for the session.
 	state sessionState
 	// held is the connection of an open transaction, or nil.
--- a/instance/unit.go
+++ b/instance/unit.go
@@ -60,6 +60,8 @@
 	simple bool
 	sql    string
 	steps  []step
+	// bytes is the length of the steps' messages.
+	bytes int
 	// executions counts the statements that the steps run.
 	executions int
 	annotation annotation
@@ -69,8 +71,12 @@
 	fault *core.Error
 }
 
-// maxUnitSteps bounds the messages of one unit.
-const maxUnitSteps = 10000
+const (
+	// maxUnitSteps bounds the messages of one unit.
+	maxUnitSteps = 10000
+	// maxUnitBytes bounds them together.
+	maxUnitBytes = 64 << 20
+)
 
 // nextUnit reads messages up to the next Query or Sync. It returns nil when the
 // caller ended the session.
@@ -124,7 +130,11 @@
 	}
 }
 
+// addStep takes in one message; those behind a fault are passed over up to Sync.
 func (s *session) addStep(u *unit, m pgproto3.FrontendMessage) {
+	if u.fault != nil {
+		return
+	}
 	if len(u.steps) >= maxUnitSteps {
 		u.fail(core.NewError(core.CodeTooLarge, "more than %d messages before Sync", maxUnitSteps))
 		return
@@ -141,7 +151,7 @@
 		u.add(step{kind: stepExecute}, m)
 	case *pgproto3.Close:
 		if m.ObjectType == 'S' {
-			delete(s.prepared, m.Name)
+			s.forget(m.Name)
 			u.steps = append(u.steps, step{kind: stepCloseStatement})
 			return
 		}
@@ -158,6 +168,10 @@
 		u.fail(core.NewError(core.CodeBadMessage, "message could not be encoded again"))
 		return
 	}
+	if u.bytes += len(encoded); u.bytes > maxUnitBytes {
+		u.fail(core.NewError(core.CodeTooLarge, "more than %d bytes before Sync", maxUnitBytes))
+		return
+	}
 	st.encoded = encoded
 	u.steps = append(u.steps, st)
 }
@@ -176,15 +190,30 @@
 		u.fail(e)
 		return
 	}
+	s.forget(m.Name)
+	if s.preparedBytes+len(p.encoded) > maxPreparedBytes {
+		u.fail(core.NewError(core.CodeTooLarge, "prepared statements of more than %d bytes", maxPreparedBytes))
+		return
+	}
 	s.prepared[m.Name] = p
+	s.preparedBytes += len(p.encoded)
 	u.steps = append(u.steps, step{kind: stepParse, statement: p})
 	u.describe(s.stated(p))
 }
 
-func (s *session) addBind(u *unit, m *pgproto3.Bind) {
-	p, ok := s.prepared[m.PreparedStatement]
+// find returns a prepared statement of the session; without one the unit is at
+// fault.
+func (s *session) find(u *unit, name string) *prepared {
+	p, ok := s.prepared[name]
 	if !ok {
-		u.fail(core.NewError(core.CodeUnknownPrepared, "prepared statement %q does not exist", m.PreparedStatement))
+		u.fail(core.NewError(core.CodeUnknownPrepared, "prepared statement %q does not exist", name))
+	}
+	return p
+}
+
+func (s *session) addBind(u *unit, m *pgproto3.Bind) {
+	p := s.find(u, m.PreparedStatement)
+	if p == nil {
 		return
 	}
 	m.PreparedStatement = p.name
@@ -198,9 +227,8 @@
 		u.add(step{kind: stepDescribePortal}, m)
 		return
 	}
-	p, ok := s.prepared[m.Name]
-	if !ok {
-		u.fail(core.NewError(core.CodeUnknownPrepared, "prepared statement %q does not exist", m.Name))
+	p := s.find(u, m.Name)
+	if p == nil {
 		return
 	}
 	m.Name = p.name
@@ -223,8 +251,20 @@
 	}
 }
 
-// maxPrepared bounds the prepared statements of one session.
-const maxPrepared = 1000
+const (
+	// maxPrepared bounds the prepared statements of one session.
+	maxPrepared = 1000
+	// maxPreparedBytes bounds their texts together.
+	maxPreparedBytes = 32 << 20
+)
+
+// forget drops a prepared statement of the session, if there is one.
+func (s *session) forget(name string) {
+	if p, ok := s.prepared[name]; ok {
+		s.preparedBytes -= len(p.encoded)
+		delete(s.prepared, name)
+	}
+}
 
 // preparedNameBytes is how much of a statement's hash names it at endpoints.
 const preparedNameBytes = 16
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -27,7 +27,8 @@
 	Address netip.AddrPort
 	// Named holds the prepared statements that the other end knows.
 	Named map[string]struct{}
-	// Unnamed is the text of the unnamed prepared statement at the other end.
+	// Unnamed is the parse message of the unnamed prepared statement at the other
+	// end, empty when it is not known.
 	Unnamed string
 	// Session describes the session state that was set at the other end.
 	Session string
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -84,9 +84,8 @@
 }
 
 func (s Server) history(w http.ResponseWriter, r *http.Request) {
-	d, err := s.Stored(r.Context())
-	if err != nil {
-		fail(w, err)
+	d, ok := s.stored(w, r)
+	if !ok {
 		return
 	}
 	since, ok := number(w, r, "since")
@@ -98,14 +97,22 @@
 	})
 }
 
+// stored reads the document at the platform, or answers why it could not.
+func (s Server) stored(w http.ResponseWriter, r *http.Request) (patch.Document, bool) {
+	d, err := s.Stored(r.Context())
+	if err != nil {
+		fail(w, err)
+	}
+	return d, err == nil
+}
+
 func (s Server) diff(w http.ResponseWriter, r *http.Request) {
 	from, ok := number(w, r, "from")
 	if !ok {
 		return
 	}
-	d, err := s.Stored(r.Context())
-	if err != nil {
-		fail(w, err)
+	d, ok := s.stored(w, r)
+	if !ok {
 		return
 	}
 	to := d.Version
@@ -127,9 +134,8 @@
 	if !ok {
 		return
 	}
-	d, err := s.Stored(r.Context())
-	if err != nil {
-		fail(w, err)
+	d, ok := s.stored(w, r)
+	if !ok {
 		return
 	}
 	show(w, http.StatusOK, d.Settle(r.PathValue("id"), base))
