Strike a parted data centre and silent connections in tests of whole sites

Cause: the partition of a data centre was run by hand only, a frozen primary together with silent connections not at all. Change: two more sites in standin/cmd, each with two faults at once.

--- a/standin/cmd/demo_test.go
+++ b/standin/cmd/demo_test.go
@@ -76,3 +76,11 @@
 func TestBoardWithMutedPrimaryAndDrain(t *testing.T) {
 	runDemo(t, "board", demo.ScenarioMute, demo.ScenarioDrain)
 }
+
+func TestBoardWithPartedDataCentreAndLostAnswers(t *testing.T) {
+	runDemo(t, "board", demo.ScenarioParted, demo.ScenarioLose)
+}
+
+func TestIndexWithFrozenPrimaryAndSilentConnections(t *testing.T) {
+	runDemo(t, "index", demo.ScenarioFreeze, demo.ScenarioSilence)
+}
