Count what a pool closes before what it opens, in its property test

Cause: a longer search (1,500 cases) failed TestPoolProperties: a reset that ran out of time was closed and a connection opened in its place in one step, at a limit of 1. The pool was right; the test counted the connections before the step, less those testing and opening, but not those resetting. Change: the test follows the actions in order and takes nothing off beforehand, which is stricter: testing and opening connections now count until they are closed. Ruled out: a fault of the pool; its own bound on open connections held in the same run.

--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -93,10 +93,12 @@
 		}
 		apply := func(before int, actions []Action) {
 			for _, a := range actions {
-				if a.Do == DoOpen && before >= p.Limit(now) {
+				switch {
+				case a.Do == DoClose:
+					before--
+				case a.Do == DoOpen && before >= p.Limit(now):
 					t.Fatalf("opened above the limit of %d", p.Limit(now))
-				}
-				if a.Do == DoOpen {
+				case a.Do == DoOpen:
 					before++
 				}
 			}
@@ -104,7 +106,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"want": func(t *rapid.T) {
 				before := p.Open()
-				apply(before-p.Count(StateTesting)-p.Count(StateOpening), p.Want(now, rapid.IntRange(0, 20).Draw(t, "waiting")))
+				apply(before, p.Want(now, rapid.IntRange(0, 20).Draw(t, "waiting")))
 				if p.Open() > max(before, p.Limit(now)) || p.Count(StateOpening) > maxOpening {
 					t.Fatalf("%d connections, %d opening", p.Open(), p.Count(StateOpening))
 				}
