Drop dead names and share what the stand-ins' control addresses repeat

Two methods of an endpoint connection did the same under two names; a result code, a log event and a method of the settings table had no user; the two stand-ins each opened two listeners, read a fault strictly and wrote JSON in the same lines. Ruled out: removing the options that only tests set, which are their seams. No behaviour changes.

--- a/core/code.go
+++ b/core/code.go
@@ -38,7 +38,6 @@
 	CodeUnknownDatabase   Code = 4009
 	CodeKeyReused         Code = 4010
 	CodeTooManyCallers    Code = 4011
-	CodeCancelled         Code = 4012
 	CodeUnknownPrepared   Code = 4013
 	CodePatchConflict     Code = 5001
 	CodePatchInvalid      Code = 5002
@@ -62,7 +61,6 @@
 	stateNoDatabase     = "3D000"
 	stateDuplicate      = "23505"
 	stateShutdown       = "57P01"
-	stateCancelled      = "57014"
 	stateIdle           = "25P03"
 	stateNoStatement    = "26000"
 	stateSerialization  = "40001"
@@ -93,7 +91,6 @@
 	CodeUnknownDatabase: stateNoDatabase,
 	CodeKeyReused:       stateBadParameter,
 	CodeTooManyCallers:  stateTooMany,
-	CodeCancelled:       stateCancelled,
 	CodeUnknownPrepared: stateNoStatement,
 }
 
--- a/core/event.go
+++ b/core/event.go
@@ -18,6 +18,5 @@
 	EventSampleFailed  Event = 301
 	EventFailoverBegun Event = 302
 	EventFailover      Event = 303
-	EventSession       Event = 400
 	EventSessionError  Event = 401
 )
--- a/instance/sessions.go
+++ b/instance/sessions.go
@@ -102,7 +102,7 @@
 	for _, e := range entries {
 		e.mu.Lock()
 		if e.running != nil && e.running.Address == address {
-			e.running.Abort()
+			e.running.Interrupt()
 		}
 		e.mu.Unlock()
 	}
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -94,18 +94,12 @@
 	}
 }
 
-// Interrupt makes a Receive that waits end at once, and the connection with it.
-// It may be called from another goroutine.
+// Interrupt makes Flush and Receive fail, one that waits included, until the next
+// SetDeadline. It may be called from another goroutine.
 func (c *Conn) Interrupt() {
 	_ = c.conn.SetDeadline(time.Unix(1, 0))
 }
 
-// Abort makes Flush and Receive fail from now on until the next SetDeadline. It
-// may be called from another goroutine.
-func (c *Conn) Abort() {
-	_ = c.conn.SetDeadline(time.Unix(1, 0))
-}
-
 // Send appends one message to those that the next Flush sends.
 func (c *Conn) Send(m pgproto3.FrontendMessage) {
 	out, err := m.Encode(c.out)
--- a/settings/table.go
+++ b/settings/table.go
@@ -111,9 +111,6 @@
 	return names
 }
 
-// IsRequired reports whether a file must state the setting.
-func (e Entry) IsRequired() bool { return e.required }
-
 func lookup(name string) (Entry, bool) {
 	for _, e := range table {
 		if e.Name == name {
--- a/standin/endpoint/control.go
+++ b/standin/endpoint/control.go
@@ -9,6 +9,7 @@
 
 	"anviltack/core"
 	"anviltack/core/patch"
+	"anviltack/standin/control"
 )
 
 // faults are the switches that are on.
@@ -85,15 +86,12 @@
 	if e.frozen.wait(r.Context()) != nil {
 		return
 	}
-	writeJSON(w, e.take(p))
+	control.WriteJSON(w, e.take(p))
 }
 
 func (e *Endpoint) serveFault(w http.ResponseWriter, r *http.Request) {
 	var f Fault
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !control.ReadFault(w, r, &f) {
 		return
 	}
 	e.setFault(f)
@@ -107,14 +105,14 @@
 		Submissions: e.tables.dump(TableSubmission),
 	}
 	e.mu.Unlock()
-	writeJSON(w, rows)
+	control.WriteJSON(w, rows)
 }
 
 func (e *Endpoint) serveLog(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	entries := slices.Clone(e.entries)
 	e.mu.Unlock()
-	writeJSON(w, entries)
+	control.WriteJSON(w, entries)
 }
 
 func (e *Endpoint) serveStats(w http.ResponseWriter, _ *http.Request) {
@@ -123,12 +121,7 @@
 	stats.Status = e.status()
 	stats.Connections = len(e.sessions)
 	e.mu.Unlock()
-	writeJSON(w, stats)
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	control.WriteJSON(w, stats)
 }
 
 // setFault turns fault switches on and off.
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"anviltack/core"
+	"anviltack/standin/control"
 )
 
 // Defaults of an endpoint; a caller changes them with options.
@@ -138,15 +139,11 @@
 
 // Run serves until the context ends.
 func (e *Endpoint) Run(ctx context.Context) error {
-	statements, err := net.Listen("tcp", e.listen.String())
+	statements, controls, err := control.Listen(e.listen, e.control)
 	if err != nil {
 		return fmt.Errorf("endpoint: %w", err)
 	}
-	control, err := net.Listen("tcp", e.control.String())
-	if err != nil {
-		return errors.Join(fmt.Errorf("endpoint: %w", err), statements.Close())
-	}
-	return e.Serve(ctx, statements, control)
+	return e.Serve(ctx, statements, controls)
 }
 
 // Serve serves on open listeners until the context ends; it closes both.
--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -1,13 +1,13 @@
 package platform
 
 import (
-	"encoding/json"
 	"maps"
 	"net/http"
 	"strings"
 	"time"
 
 	"anviltack/core/patch"
+	"anviltack/standin/control"
 )
 
 // Fault is the body of PUT /fault; it replaces all switches.
@@ -102,10 +102,7 @@
 
 func (p *Platform) serveFault(w http.ResponseWriter, r *http.Request) {
 	var f Fault
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !control.ReadFault(w, r, &f) {
 		return
 	}
 	p.mu.Lock()
@@ -118,5 +115,5 @@
 	p.mu.Lock()
 	stats := Stats{Calls: maps.Clone(p.stats.Calls)}
 	p.mu.Unlock()
-	writeJSON(w, stats)
+	control.WriteJSON(w, stats)
 }
--- a/standin/platform/kv.go
+++ b/standin/platform/kv.go
@@ -1,12 +1,13 @@
 package platform
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
+
+	"anviltack/standin/control"
 )
 
 // Limits of the key-value service.
@@ -38,7 +39,7 @@
 		http.Error(w, "", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, []Pair{*found})
+	control.WriteJSON(w, []Pair{*found})
 }
 
 // watchKey returns a key once its index is above after, or when the wait ends.
@@ -115,7 +116,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	writeJSON(w, done)
+	control.WriteJSON(w, done)
 }
 
 // put changes a key under the conditions of its query; p.mu is held.
@@ -166,10 +167,5 @@
 		p.bump()
 	}
 	p.mu.Unlock()
-	writeJSON(w, true)
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	control.WriteJSON(w, true)
 }
--- a/standin/platform/lease.go
+++ b/standin/platform/lease.go
@@ -6,6 +6,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"anviltack/standin/control"
 )
 
 var errInvalidSession = errors.New("invalid session")
@@ -34,7 +36,7 @@
 	p.mu.Lock()
 	p.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
 	p.mu.Unlock()
-	writeJSON(w, struct{ ID string }{id})
+	control.WriteJSON(w, struct{ ID string }{id})
 }
 
 func (p *Platform) serveSessionRenew(w http.ResponseWriter, r *http.Request) {
@@ -51,12 +53,12 @@
 		http.Error(w, "Session id '"+id+"' not found", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, []struct{ ID, TTL string }{{id, l.ttl.String()}})
+	control.WriteJSON(w, []struct{ ID, TTL string }{{id, l.ttl.String()}})
 }
 
 func (p *Platform) serveSessionDestroy(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	p.destroy(r.PathValue("id"))
 	p.mu.Unlock()
-	writeJSON(w, true)
+	control.WriteJSON(w, true)
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -12,6 +12,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"anviltack/standin/control"
 )
 
 // Platform holds everything in memory.
@@ -67,15 +69,11 @@
 
 // Run serves until the context ends.
 func (p *Platform) Run(ctx context.Context) error {
-	api, err := net.Listen("tcp", p.listen.String())
+	api, controls, err := control.Listen(p.listen, p.control)
 	if err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
-	control, err := net.Listen("tcp", p.control.String())
-	if err != nil {
-		return errors.Join(fmt.Errorf("platform: %w", err), api.Close())
-	}
-	return p.Serve(ctx, api, control)
+	return p.Serve(ctx, api, controls)
 }
 
 // Serve serves on open listeners until the context ends; it closes both.
--- a/standin/platform/service.go
+++ b/standin/platform/service.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"anviltack/standin/control"
 )
 
 // registration is one instance as it registered.
@@ -99,5 +101,5 @@
 		return after == 0 || index > after
 	})
 	w.Header().Set(indexHeader, strconv.FormatUint(index, 10))
-	writeJSON(w, out)
+	control.WriteJSON(w, out)
 }
