Serve the users' platform through neutral statements

The first thin path: proxy/ runs sessions in statements of its own and takes the protocols, the store, the directory, the promotion and the clock as seams; platform/ fills them. The failover machine and the tracker of core decide.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -35,15 +35,16 @@
 }
 
 type commands struct {
-	Serve   serveCmd   `cmd:"" help:"Run an entry instance."`
-	Check   checkCmd   `cmd:"" help:"Check a settings file and name every fault."`
-	Config  configCmd  `cmd:"" help:"Show the configuration and its history."`
-	Patch   patchCmd   `cmd:"" help:"Submit a patch of the configuration."`
-	Settle  settleCmd  `cmd:"" help:"Tell what became of a patch."`
-	Secret  secretCmd  `cmd:"" help:"Make a caller's secret from a password on standard input."`
-	Dump    dumpCmd    `cmd:"" help:"Show the state of an instance."`
-	Status  statusCmd  `cmd:"" help:"Show groups, endpoints and instances."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Serve    serveCmd    `cmd:"" help:"Run an entry instance."`
+	Check    checkCmd    `cmd:"" help:"Check a settings file and name every fault."`
+	Config   configCmd   `cmd:"" help:"Show the configuration and its history."`
+	Patch    patchCmd    `cmd:"" help:"Submit a patch of the configuration."`
+	Settle   settleCmd   `cmd:"" help:"Tell what became of a patch."`
+	Secret   secretCmd   `cmd:"" help:"Make a caller's secret from a password on standard input."`
+	Dump     dumpCmd     `cmd:"" help:"Show the state of an instance."`
+	Status   statusCmd   `cmd:"" help:"Show groups, endpoints and instances."`
+	Platform platformCmd `cmd:"" help:"Run an instance on the users' platform."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 // exit carries the status of a command line that kong answered by itself, such
--- /dev/null
+++ b/cli/platform.go
@@ -0,0 +1,61 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"anviltack/logs"
+	"anviltack/platform"
+)
+
+type platformCmd struct {
+	Settings string `arg:"" optional:"" env:"ANVILTACK_NODE_FILE" help:"The platform's settings file." type:"path"`
+}
+
+// memoryShare is the part of the memory limit at which the garbage collector
+// works harder; the rest is for stacks, buffers and the kernel.
+const memoryShare = 0.5
+
+// Run serves on the users' platform until a signal ends it.
+func (c *platformCmd) Run(s *streams) error {
+	checked, err := platform.LoadSettings(c.Settings)
+	if err != nil {
+		return &statusError{status: exitSettings, err: err}
+	}
+	if checked.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(checked.MemoryMB) * (1 << 20)))
+	}
+	writer := logs.NewWriter(s.out)
+	defer writer.Close()
+	log := logrus.New()
+	log.SetOutput(writer)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	go watchSignals(signals, log, c.Settings, stop)
+	return platform.Run(context.Background(), checked, log, stop)
+}
+
+// watchSignals begins the stop at the first signal that asks for one, and checks
+// the settings when they changed.
+func watchSignals(signals <-chan os.Signal, log *logrus.Logger, path string, stop chan<- struct{}) {
+	for n := range signals {
+		if n != syscall.SIGHUP {
+			close(stop)
+			return
+		}
+		if _, err := platform.LoadSettings(path); err != nil {
+			log.WithError(err).Warn("changed settings cannot be read; the old ones stay in force")
+			continue
+		}
+		log.Info("settings read again; addresses and limits take effect at the next start")
+	}
+}
--- a/core/event.go
+++ b/core/event.go
@@ -19,4 +19,9 @@
 	EventFailoverBegun Event = 302
 	EventFailover      Event = 303
 	EventSessionError  Event = 401
+	EventRefused       Event = 402
+	EventStore         Event = 500
+	EventMembers       Event = 501
+	EventEndpoint      Event = 502
+	EventTurn          Event = 503
 )
--- a/core/group/availability.go
+++ b/core/group/availability.go
@@ -14,9 +14,6 @@
 	minRemaining = 200 * time.Millisecond
 	// hopelessRetry is the advice to a caller once a failover takes too long.
 	hopelessRetry = 2 * time.Second
-	// doubtedSilence is how long a primary may leave samples unanswered before
-	// new writes wait.
-	doubtedSilence = 150 * time.Millisecond
 )
 
 // Availability tells whether a group takes writes now.
@@ -86,7 +83,7 @@
 	if !e.known || e.status.Term < m.term {
 		return false
 	}
-	return e.isPrimary(m.term) && m.now.Sub(e.answeredAt) < doubtedSilence
+	return e.isPrimary(m.term) && m.now.Sub(e.answeredAt) < m.periods.Doubt
 }
 
 // isReplicating reports whether enough replicas answer in the primary's term for
--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -174,7 +174,7 @@
 	if m.attempt != nil || !m.suspectedAt.IsZero() || !m.absentSince.IsZero() {
 		return m.now.Add(activeTick)
 	}
-	next := m.now.Add(idleTick)
+	next := m.now.Add(m.periods.Idle)
 	for _, e := range m.members {
 		if len(e.outstanding) == 0 && e.nextSample.Before(next) {
 			next = e.nextSample
--- a/core/group/option.go
+++ b/core/group/option.go
@@ -49,11 +49,17 @@
 	DefaultBackoff = 200 * time.Millisecond
 )
 
+const (
+	// DefaultDoubt is how long a primary may leave samples unanswered before
+	// new writes wait.
+	DefaultDoubt = 150 * time.Millisecond
+	// DefaultIdle is the longest time between ticks.
+	DefaultIdle = 25 * time.Millisecond
+)
+
 const (
 	// minBackoff is the shortest delay after an attempt that failed.
 	minBackoff = 30 * time.Millisecond
-	// idleTick is the longest time between ticks.
-	idleTick = 25 * time.Millisecond
 	// activeTick is the time between ticks while a failover is considered.
 	activeTick = 5 * time.Millisecond
 	// minRefusals is the number of refusals that count as a dead primary.
@@ -78,6 +84,8 @@
 	FenceGrace     time.Duration
 	PromoteTimeout time.Duration
 	Backoff        time.Duration
+	Doubt          time.Duration
+	Idle           time.Duration
 }
 
 // DefaultPeriods returns the default time limits.
@@ -99,6 +107,8 @@
 		FenceGrace:     DefaultFenceGrace,
 		PromoteTimeout: DefaultPromoteTimeout,
 		Backoff:        DefaultBackoff,
+		Doubt:          DefaultDoubt,
+		Idle:           DefaultIdle,
 	}
 }
 
--- /dev/null
+++ b/core/turn/turn.go
@@ -0,0 +1,53 @@
+// Package turn decides when an instance may act for a group on its own, under a
+// token that rises from one turn to the next.
+//
+// A turn begins with a conditional change of one value in a store; the revision
+// of that change is its token. Whoever took a turn acts within Window of asking
+// for the change, and nobody takes the next one before the value has stood
+// unchanged for that long. So acts come in the order of their tokens, whatever
+// answers are lost or late.
+package turn
+
+import "time"
+
+// Window is how long a turn lasts from the moment it was asked for. It covers a
+// slow store's answer and one call of the platform.
+const Window = 1500 * time.Millisecond
+
+// Turn is what an instance knows of the last turn of one group.
+type Turn struct {
+	revision uint64
+	owner    string
+	// seenAt is when the revision was first seen.
+	seenAt time.Time
+	known  bool
+}
+
+// Seen takes a read of the value that was answered at now. Revision zero means
+// that nobody ever had a turn.
+func (t *Turn) Seen(now time.Time, revision uint64, owner string) {
+	if t.known && revision <= t.revision {
+		return
+	}
+	t.revision, t.owner, t.seenAt, t.known = revision, owner, now, true
+}
+
+// Wait returns how long self must wait before it asks for the next turn. Its own
+// last turn, or that of an earlier process of the same name, is over.
+func (t *Turn) Wait(now time.Time, self string) time.Duration {
+	if !t.known {
+		return Window
+	}
+	if t.revision == 0 || t.owner == self {
+		return 0
+	}
+	return max(0, Window-now.Sub(t.seenAt))
+}
+
+// Revision returns the revision that the next turn replaces.
+func (t *Turn) Revision() uint64 { return t.revision }
+
+// Remaining returns how much is left at now of a turn asked for at asked.
+func Remaining(now, asked time.Time) time.Duration {
+	return max(0, Window-now.Sub(asked))
+}
--- /dev/null
+++ b/proxy/config.go
@@ -0,0 +1,49 @@
+package proxy
+
+import (
+	"time"
+
+	"anviltack/core"
+)
+
+// Freshness is what a route promises its reads.
+type Freshness string
+
+// The promises to reads.
+const (
+	// FreshnessNewest reads everything acknowledged before the read came.
+	FreshnessNewest Freshness = "newest"
+	// FreshnessBounded reads everything acknowledged Staleness before.
+	FreshnessBounded Freshness = "bounded"
+	// FreshnessSession reads as FreshnessBounded and the session's own writes.
+	FreshnessSession Freshness = "session"
+)
+
+// Route says how the statements of a database are served.
+type Route struct {
+	Group     core.Group
+	Freshness Freshness
+	Staleness time.Duration
+	// Timeout bounds one statement.
+	Timeout time.Duration
+	// Target is how long an operation should take.
+	Target time.Duration
+	// Priority is the lower the more important.
+	Priority int
+}
+
+// GroupSettings are what the configuration says of a group.
+type GroupSettings struct {
+	// Connections bounds the connections to each endpoint, from all instances
+	// together.
+	Connections int
+}
+
+// Config is one version of the configuration; it does not change.
+type Config struct {
+	Version uint64
+	Routes  map[core.Database]Route
+	Groups  map[core.Group]GroupSettings
+	// TransactionIdle is how long a transaction may stay idle.
+	TransactionIdle time.Duration
+}
--- /dev/null
+++ b/proxy/endpoint.go
@@ -0,0 +1,230 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"anviltack/core"
+	failover "anviltack/core/group"
+	"anviltack/core/place"
+	"anviltack/core/queue"
+)
+
+const (
+	// connectLimit bounds the opening of a connection: a handshake of some 10 ms
+	// and the wait for a slot.
+	connectLimit = 700 * time.Millisecond
+	// reopenPause separates attempts to connect to an endpoint that fails.
+	reopenPause = 150 * time.Millisecond
+	// fullPause separates them at one that takes no more connections.
+	fullPause = 500 * time.Millisecond
+	// behindPause is for how long a replica that refused a read as too far
+	// behind is asked for no other that needs more than it is known to hold.
+	behindPause = 80 * time.Millisecond
+	// evidencePeriod separates what traffic tells the control of an endpoint
+	// that answers.
+	evidencePeriod = 100 * time.Millisecond
+	// doubtPause is for how long an endpoint that left a statement unanswered
+	// gets no reads.
+	doubtPause = 400 * time.Millisecond
+)
+
+// endpoint is one endpoint with this instance's connections to it.
+type endpoint struct {
+	info    Endpoint
+	group   *groupControl
+	leaving atomic.Bool
+
+	mu sync.Mutex
+	// limit is how many connections statements may use.
+	limit int
+	idle  []*link
+	// open counts the connections, idle or not, and those being opened.
+	open    int
+	opening int
+	queue   queue.Queue
+	waiters map[uint64]chan grant
+	lastID  uint64
+	closed  bool
+	// reopenAt is when a connection may be opened again.
+	reopenAt time.Time
+	// doubtedUntil is until when no read is sent here.
+	doubtedUntil time.Time
+	// visible is the newest point that reads here were seen to cover.
+	visible     core.Point
+	lag         time.Duration
+	busy        int
+	behindUntil time.Time
+	evidenceAt  time.Time
+
+	// controlMu is held while the control connection is in use.
+	controlMu sync.Mutex
+	control   *Conn
+}
+
+// grant is what a waiter gets.
+type grant struct {
+	link *link
+	err  error
+}
+
+func newEndpoint(g *groupControl, info Endpoint) *endpoint {
+	return &endpoint{info: info, group: g, waiters: make(map[uint64]chan grant), limit: 1}
+}
+
+// controlConnections is how many connections of an instance's part are kept for
+// reports and fences.
+const controlConnections = 1
+
+// setShare takes how many connections all instances together may open.
+func (e *endpoint) setShare(_ time.Time, most, live int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = max(1, place.Part(most, live)-controlConnections)
+	for len(e.idle) > 0 && e.open > e.limit {
+		e.dropLocked(e.popLocked())
+	}
+}
+
+// candidate describes the endpoint for a choice.
+func (e *endpoint) candidate(now time.Time, primary bool, dataCentre string) place.Candidate {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return place.Candidate{
+		Endpoint: e.info.Name, Primary: primary, Near: string(e.info.DataCentre) == dataCentre,
+		Visible: e.visible, Lag: e.lag, BehindUntil: e.behindUntil,
+		Load: e.open - e.opening - len(e.idle) + e.queue.Len(), Busy: e.busy, Room: e.limit, Slots: e.info.Slots,
+		Down:    e.closed || now.Before(e.doubtedUntil) || e.open == e.opening && now.Before(e.reopenAt),
+		Leaving: e.leaving.Load(),
+	}
+}
+
+// reported takes the endpoint's report.
+func (e *endpoint) reported(now time.Time, r Report) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lag, e.busy = r.Lag, r.Busy
+	e.seeLocked(r.Last.Term, core.Point{Term: r.Last.Term, Position: r.Applied})
+	if now.After(e.doubtedUntil) {
+		e.doubtedUntil = time.Time{}
+	}
+}
+
+// answered takes the position behind an answer.
+func (e *endpoint) answered(now time.Time, a Answer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seeLocked(a.Point.Term, a.Point)
+	var fault *EndpointError
+	if errors.As(a.Err, &fault) && fault.Fault == FaultLagging {
+		e.behindUntil = now.Add(behindPause)
+	}
+	if now.Sub(e.evidenceAt) >= evidencePeriod {
+		e.evidenceAt = now
+		e.group.evidence(e, failover.Answered)
+	}
+}
+
+// seeLocked raises visible. A point of another term replaces it: the endpoint
+// may have dropped what it held of the old one.
+func (e *endpoint) seeLocked(term uint64, p core.Point) {
+	if term != e.visible.Term && p != (core.Point{}) || e.visible.Less(p) {
+		e.visible = p
+	}
+}
+
+// failed takes the failure of a connection with a statement under way.
+func (e *endpoint) failed(now time.Time, err error) {
+	f := failureOf(err)
+	e.mu.Lock()
+	if f == failover.FailureTimeout {
+		e.doubtedUntil = now.Add(doubtPause)
+	}
+	e.mu.Unlock()
+	e.group.evidence(e, f)
+}
+
+// failureOf tells how an attempt to reach an endpoint failed.
+func failureOf(err error) failover.Failure {
+	var fault *EndpointError
+	var network net.Error
+	switch {
+	case errors.As(err, &fault):
+		return failover.Answered
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return failover.FailureRefused
+	case errors.As(err, &network) && network.Timeout(), errors.Is(err, context.DeadlineExceeded):
+		return failover.FailureTimeout
+	default:
+		return failover.FailureLost
+	}
+}
+
+// report asks the endpoint for its report over the control connection.
+func (e *endpoint) report(fresh bool) (Report, error) {
+	e.controlMu.Lock()
+	defer e.controlMu.Unlock()
+	if fresh {
+		e.hangUp()
+	}
+	return e.ask(func(c *Conn) (Report, error) { return c.Status(reportLimit) })
+}
+
+// fence fences the endpoint over the control connection.
+func (e *endpoint) fence(term uint64, role core.Role) (Report, error) {
+	e.controlMu.Lock()
+	defer e.controlMu.Unlock()
+	return e.ask(func(c *Conn) (Report, error) { return c.Fence(reportLimit, term, role) })
+}
+
+// ask opens the control connection if need be and uses it; the lock is held.
+func (e *endpoint) ask(use func(*Conn) (Report, error)) (Report, error) {
+	if e.control != nil && !e.control.IsOpen() {
+		e.hangUp()
+	}
+	if e.control == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
+		defer cancel()
+		c, err := e.group.control.proxy.seams.Endpoints.Dial(ctx, e.info)
+		if err != nil {
+			return Report{}, err
+		}
+		e.group.control.proxy.counts.connections.Inc(1)
+		e.control = c
+	}
+	r, err := use(e.control)
+	e.group.control.proxy.counts.reports.Inc(1)
+	var fault *EndpointError
+	if err != nil && !errors.As(err, &fault) {
+		e.hangUp()
+	}
+	return r, err
+}
+
+func (e *endpoint) hangUp() {
+	if e.control != nil {
+		e.control.Close()
+		e.control = nil
+	}
+}
+
+// close ends all connections.
+func (e *endpoint) close() {
+	e.mu.Lock()
+	e.closed = true
+	for len(e.idle) > 0 {
+		e.dropLocked(e.popLocked())
+	}
+	e.refuseLocked(core.NewError(core.CodeNoConnection, "%s is gone", e.info.Name))
+	e.mu.Unlock()
+	go func() {
+		e.controlMu.Lock()
+		defer e.controlMu.Unlock()
+		e.hangUp()
+	}()
+}
--- /dev/null
+++ b/proxy/exchange.go
@@ -0,0 +1,128 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"anviltack/core"
+	failover "anviltack/core/group"
+)
+
+// sentError tells that a statement may have reached the endpoint and that no
+// answer came.
+type sentError struct {
+	endpoint core.Endpoint
+	err      error
+}
+
+// Error names the endpoint and the cause.
+func (e *sentError) Error() string {
+	return fmt.Sprintf("no answer from %s: %v", e.endpoint, e.err)
+}
+
+// Unwrap returns the cause.
+func (e *sentError) Unwrap() error { return e.err }
+
+var errSetup = errors.New("proxy: the endpoint did not take the session's values or names")
+
+// exchange runs a statement on a connection and returns the endpoint's answer.
+// Together with its setup goes only what may run without it.
+func (s *session) exchange(l *link, limit time.Duration, st Statement, together bool) (Answer, error) {
+	setup := l.setup(s, &st)
+	if !together && len(setup) > 0 {
+		if err := s.prelude(l, limit, setup); err != nil {
+			return Answer{}, err
+		}
+		setup = nil
+	}
+	answers, err := l.conn.Exchange(limit, append(setup, st))
+	now := s.proxy.now()
+	if err != nil {
+		l.endpoint.failed(now, err)
+		return Answer{}, &sentError{endpoint: l.endpoint.info.Name, err: err}
+	}
+	for _, a := range answers[:len(answers)-1] {
+		if a.Err != nil {
+			return Answer{}, errSetup
+		}
+	}
+	a := answers[len(answers)-1]
+	l.endpoint.answered(now, a)
+	return a, nil
+}
+
+// prelude runs the instance's own statements ahead of a caller's.
+func (s *session) prelude(l *link, limit time.Duration, setup []Statement) error {
+	answers, err := l.conn.Exchange(limit, setup)
+	if err != nil {
+		l.endpoint.failed(s.proxy.now(), err)
+		return err
+	}
+	for _, a := range answers {
+		if a.Err != nil {
+			return errSetup
+		}
+	}
+	return nil
+}
+
+// faultOf returns the endpoint's fault, empty for none.
+func faultOf(err error) Fault {
+	var e *EndpointError
+	if errors.As(err, &e) {
+		return e.Fault
+	}
+	return ""
+}
+
+// confirmation waits for the proof behind an answer.
+type confirmation struct {
+	group *group
+}
+
+// confirm makes the group's endpoints report from now on, until done is called.
+func (g *group) confirm() confirmation {
+	g.waiting.Add(1)
+	g.poke()
+	return confirmation{group: g}
+}
+
+// done ends the wish for reports.
+func (c confirmation) done() {
+	if c.group.waiting.Add(-1) == 0 {
+		c.group.poke()
+	}
+}
+
+func (g *group) poke() {
+	g.control.control.offer(func(now time.Time) { g.control.awaited(now) })
+}
+
+// verdict waits until the statement is confirmed or cannot be any more.
+func (c confirmation) verdict(limit time.Duration, arrived time.Time, term uint64, p core.Point) failover.Verdict {
+	v := failover.VerdictPending
+	c.group.await(limit, func(s *groupState) bool {
+		v = s.confirmed.Verdict(arrived, term, p)
+		return v != failover.VerdictPending
+	})
+	return v
+}
+
+// await waits until a view satisfies ok, at most for limit, and reports whether
+// one did.
+func (g *group) await(limit time.Duration, ok func(*groupState) bool) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		state, changed := g.watch()
+		if ok(state) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/proxy/group.go
@@ -0,0 +1,301 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"anviltack/core"
+	failover "anviltack/core/group"
+	"anviltack/core/mark"
+	"anviltack/core/turn"
+)
+
+// The periods of the machine that watches a group. They are longer than the
+// defaults because every report takes one of an endpoint's few slots.
+const (
+	// samplePeriod separates reports of an endpoint while nothing waits; bounded
+	// reads need some within their bound, 1.5 s at the least so far.
+	samplePeriod = 500 * time.Millisecond
+	// busyPeriod separates reports while statements wait for a confirmation.
+	busyPeriod = 10 * time.Millisecond
+	// reportLimit is how long a report may take before it is asked for again.
+	reportLimit = 300 * time.Millisecond
+	// silence is how long a primary may answer nothing: longer than a sample
+	// period and a report that was lost.
+	silence = 900 * time.Millisecond
+	// reachable is the age of an answer up to which an endpoint counts as
+	// reachable: two sample periods.
+	reachable = 1100 * time.Millisecond
+	// doubt is the silence at which a primary is not sent new writes.
+	doubt = 850 * time.Millisecond
+	// ownPause is the gap between two ticks from which the instance concludes
+	// that it did not run itself.
+	ownPause = 500 * time.Millisecond
+	// absence is how long a group stays without a primary, or another instance's
+	// fence without a promotion, before this instance acts; a promotion takes
+	// about a second.
+	absence = 2500 * time.Millisecond
+	// rankDelay separates the instances that may act on one failure.
+	rankDelay = 250 * time.Millisecond
+	// promoteLimit bounds a promotion from the call to the new primary's report.
+	promoteLimit = 4 * time.Second
+	// promotePoll separates questions to an endpoint that is being promoted.
+	promotePoll = 25 * time.Millisecond
+)
+
+// group is what sessions see of one group.
+type group struct {
+	name  core.Group
+	state atomic.Pointer[groupState]
+	// waiting counts the statements that wait for a confirmation.
+	waiting atomic.Int64
+	// queued counts the statements that wait for a primary.
+	queued  atomic.Int64
+	control *groupControl
+
+	mu sync.Mutex
+	// changed is closed when state is replaced.
+	changed chan struct{}
+}
+
+// groupState is one view of a group; it does not change.
+type groupState struct {
+	term      uint64
+	primary   *endpoint
+	confirmed failover.Confirmation
+	history   *mark.History
+	available failover.Availability
+	endpoints []*endpoint
+}
+
+// watch returns the present view and a channel that is closed at the next one.
+func (g *group) watch() (*groupState, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.Load(), g.changed
+}
+
+func (g *group) publish(s *groupState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state.Store(s)
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// groupControl is the control state of one group; only the control goroutine
+// touches it.
+type groupControl struct {
+	control   *control
+	group     *group
+	machine   *failover.Machine
+	tracker   *mark.Tracker
+	endpoints map[core.Endpoint]*endpoint
+	// tracked are the names that machine and tracker know, sorted.
+	tracked []core.Endpoint
+	// due is when machine has to be told the time at the latest.
+	due time.Time
+	// turn is the last one taken for the group by anyone.
+	turn turn.Turn
+	// told are the term and the primary logged last.
+	told struct {
+		term    uint64
+		primary core.Endpoint
+	}
+}
+
+func newGroupControl(c *control, name core.Group) *groupControl {
+	p := failover.DefaultPeriods()
+	p.Sample, p.Busy, p.SampleTimeout = samplePeriod, busyPeriod, reportLimit
+	p.Silence, p.Reachable, p.Doubt, p.Pause = silence, reachable, doubt, ownPause
+	p.Absence, p.RankDelay, p.PromoteTimeout, p.Idle = absence, rankDelay, promoteLimit, maxTick
+	g := &groupControl{
+		control:   c,
+		group:     &group{name: name, changed: make(chan struct{})},
+		machine:   failover.New(name, core.Instance(c.proxy.settings.Instance), failover.WithPeriods(p)),
+		tracker:   mark.NewTracker(),
+		endpoints: make(map[core.Endpoint]*endpoint),
+	}
+	g.group.control = g
+	g.group.state.Store(&groupState{history: &mark.History{}})
+	go c.proxy.learnTurn(g)
+	return g
+}
+
+// configure takes the group's endpoints. One that was born again under its name
+// is another endpoint.
+func (g *groupControl) configure(now time.Time, list []Endpoint, s GroupSettings) {
+	kept := make(map[core.Endpoint]bool, len(list))
+	for _, l := range list {
+		e := g.endpoints[l.Name]
+		if e != nil && (e.info.Address != l.Address || e.info.Born != l.Born) {
+			e.close()
+			e = nil
+		}
+		if e == nil {
+			e = newEndpoint(g, l)
+			g.endpoints[l.Name] = e
+			g.control.proxy.event(core.EventEndpoint).WithField("group", g.group.name).WithField("endpoint", l.Name).WithField("address", l.Address).Info("endpoint listed")
+		}
+		kept[l.Name] = true
+		e.leaving.Store(l.Leaving)
+		e.setShare(now, s.Connections, len(g.control.live))
+	}
+	for name, e := range g.endpoints {
+		if !kept[name] {
+			e.close()
+			delete(g.endpoints, name)
+			g.control.proxy.event(core.EventEndpoint).WithField("group", g.group.name).WithField("endpoint", name).Info("endpoint gone")
+		}
+	}
+	g.track()
+	g.machine.SetRank(g.rank(), 1)
+	members := make([]failover.Member, 0, len(g.endpoints))
+	for _, e := range g.endpoints {
+		members = append(members, failover.Member{Name: e.info.Name, DataCentre: e.info.DataCentre, Leaving: e.leaving.Load()})
+	}
+	g.perform(now, g.machine.Configure(now, members))
+}
+
+// track makes a new tracker when the members changed. The samples of the old one
+// stay true, and those of the new one begin with the next reports.
+func (g *groupControl) track() {
+	names := make([]core.Endpoint, 0, len(g.endpoints))
+	for name := range g.endpoints {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	if !slices.Equal(names, g.tracked) {
+		g.tracked = names
+		g.tracker = mark.NewTracker(names...)
+	}
+}
+
+// rank is this instance's place among those that may act for the group.
+func (g *groupControl) rank() int {
+	hash := func(i core.Instance) uint64 { return xxhash.Sum64String(string(i) + " " + string(g.group.name)) }
+	own := hash(core.Instance(g.control.proxy.settings.Instance))
+	rank := 0
+	for _, i := range g.control.live {
+		if hash(i) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// tick lets time pass.
+func (g *groupControl) tick(now time.Time) { g.perform(now, g.machine.Tick(now)) }
+
+// awaited tells the machine how many statements wait.
+func (g *groupControl) awaited(now time.Time) {
+	g.perform(now, g.machine.Waiting(now, int(g.group.waiting.Load())))
+}
+
+// perform carries out actions and shows the new state.
+func (g *groupControl) perform(now time.Time, actions []failover.Action) {
+	for _, a := range actions {
+		e := g.endpoints[a.Endpoint]
+		if e == nil {
+			continue
+		}
+		switch a.Kind {
+		case failover.ActionSample:
+			go g.sample(e, now, a.Fresh)
+		case failover.ActionFence:
+			g.control.proxy.event(core.EventFailoverBegun).WithField("group", g.group.name).WithField("endpoint", a.Endpoint).WithField("term", a.Term).WithField("reason", a.Reason).Warn("fencing an endpoint")
+			go g.fence(e, a.Term)
+		case failover.ActionPromote:
+			go g.promote(e, a.Term)
+		case failover.ActionAskOpinions, failover.ActionAnnounce:
+			// Instances have no path to one another here.
+		}
+	}
+	g.due = g.machine.NextTick()
+	g.show()
+}
+
+// show publishes the state when it changed.
+func (g *groupControl) show() {
+	term, primary := g.machine.Primary()
+	s := &groupState{
+		term: term, primary: g.endpoints[primary], confirmed: g.machine.Confirmed(),
+		available: g.machine.Availability(), history: g.tracker.History(),
+	}
+	for _, name := range g.tracked {
+		s.endpoints = append(s.endpoints, g.endpoints[name])
+	}
+	old := g.group.state.Load()
+	if old.term == s.term && old.primary == s.primary && old.confirmed == s.confirmed && old.available == s.available &&
+		old.history.Len() == s.history.Len() && slices.Equal(old.endpoints, s.endpoints) {
+		newest, _ := s.history.Newest()
+		if last, _ := old.history.Newest(); last == newest {
+			return
+		}
+	}
+	s.history = s.history.Clone()
+	g.group.publish(s)
+	if term != g.told.term || primary != g.told.primary {
+		g.told.term, g.told.primary = term, primary
+		g.control.proxy.event(core.EventPrimary).WithField("group", g.group.name).WithField("term", term).WithField("primary", primary).Info("primary known")
+	}
+}
+
+// sample asks an endpoint for its report.
+func (g *groupControl) sample(e *endpoint, sentAt time.Time, fresh bool) {
+	r, err := e.report(fresh)
+	g.control.post(context.Background(), func(now time.Time) {
+		if g.endpoints[e.info.Name] != e {
+			return
+		}
+		if err != nil {
+			g.perform(now, g.machine.SampleFailed(now, e.info.Name, sentAt, failureOf(err)))
+			return
+		}
+		e.reported(now, r)
+		// Positions are compared as endpoints do it: by the term of the entry.
+		held := r.Status
+		held.Term = r.Last.Term
+		g.tracker.Observe(e.info.Name, sentAt, held)
+		g.perform(now, g.machine.Sampled(now, e.info.Name, sentAt, r.Status))
+		g.unseat(e, r)
+	})
+}
+
+// unseat tells a primary that was replaced.
+func (g *groupControl) unseat(e *endpoint, r Report) {
+	term, primary := g.machine.Primary()
+	if r.Role == core.RolePrimary && r.Term < term && primary != "" && primary != e.info.Name {
+		go func() {
+			_, err := e.fence(term, core.RolePrimary)
+			g.control.proxy.event(core.EventPrimary).WithField("group", g.group.name).WithField("endpoint", e.info.Name).WithField("term", term).WithField("failed", err != nil).Info("old primary told to step down")
+		}()
+	}
+}
+
+// fence fences an endpoint at a term.
+func (g *groupControl) fence(e *endpoint, term uint64) {
+	role := core.RoleReplica
+	if s := g.group.state.Load(); s.primary == e {
+		role = core.RolePrimary
+	}
+	r, err := e.fence(term, role)
+	g.control.proxy.event(core.EventFailoverBegun).WithField("group", g.group.name).WithField("endpoint", e.info.Name).WithField("term", term).WithField("held", r.Fence).WithField("point", r.Last.String()).WithError(err).Info("endpoint answered a fence")
+	g.control.post(context.Background(), func(now time.Time) {
+		g.perform(now, g.machine.Fenced(now, e.info.Name, term, r.Status, err == nil && r.Fence >= term))
+	})
+}
+
+// evidence takes what traffic shows of an endpoint.
+func (g *groupControl) evidence(e *endpoint, f failover.Failure) {
+	g.control.offer(func(now time.Time) {
+		if g.endpoints[e.info.Name] == e {
+			g.perform(now, g.machine.Evidence(now, e.info.Name, f))
+		}
+	})
+}
--- /dev/null
+++ b/proxy/link.go
@@ -0,0 +1,217 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"anviltack/core"
+	"anviltack/core/queue"
+)
+
+// link is one connection to an endpoint that statements use.
+type link struct {
+	endpoint *endpoint
+	conn     *Conn
+	// values are the session values that are set on the connection.
+	values map[string]string
+	// prepared holds the names that are prepared on the connection.
+	prepared map[string]bool
+	// grantedAt is when the present holder got the connection.
+	grantedAt time.Time
+}
+
+// claim is a wish for a connection.
+type claim struct {
+	priority int
+	due      time.Time
+	// limit is how long the claim may wait.
+	limit time.Duration
+}
+
+// acquire returns a connection once one is free. An error is a *core.Error:
+// nothing was sent.
+func (e *endpoint) acquire(c claim) (*link, error) {
+	now := e.group.control.proxy.now()
+	e.mu.Lock()
+	if e.closed {
+		e.mu.Unlock()
+		return nil, core.NewError(core.CodeNoConnection, "%s is gone", e.info.Name)
+	}
+	if e.queue.Len() == 0 {
+		for len(e.idle) > 0 {
+			l := e.popLocked()
+			if l.conn.IsOpen() {
+				l.grantedAt = now
+				e.mu.Unlock()
+				return l, nil
+			}
+			e.dropLocked(l)
+		}
+	}
+	if e.open == e.opening && now.Before(e.reopenAt) {
+		retry := e.reopenAt.Sub(now)
+		e.mu.Unlock()
+		return nil, core.NewError(core.CodeNoConnection, "%s cannot be reached", e.info.Name).WithRetry(retry)
+	}
+	e.lastID++
+	w := queue.Waiter{ID: e.lastID, Priority: c.priority, Due: c.due, Limit: c.limit}
+	if !e.queue.Add(w, e.limit) {
+		wait := e.queue.Wait(w, e.limit)
+		e.mu.Unlock()
+		return nil, core.NewError(core.CodeOverloaded, "the queue for %s is %v long", e.info.Name, wait.Round(time.Millisecond)).WithRetry(wait)
+	}
+	granted := make(chan grant, 1)
+	e.waiters[w.ID] = granted
+	e.fillLocked(now)
+	e.mu.Unlock()
+	return e.await(w, granted)
+}
+
+// await waits for a connection up to the waiter's limit.
+func (e *endpoint) await(w queue.Waiter, granted chan grant) (*link, error) {
+	timer := time.NewTimer(w.Limit)
+	defer timer.Stop()
+	select {
+	case g := <-granted:
+		return g.link, g.err
+	case <-timer.C:
+	}
+	e.mu.Lock()
+	waited := e.queue.Remove(w.ID)
+	delete(e.waiters, w.ID)
+	e.mu.Unlock()
+	if !waited {
+		g := <-granted
+		return g.link, g.err
+	}
+	return nil, core.NewError(core.CodeOverloaded, "no connection to %s came free in %v", e.info.Name, w.Limit.Round(time.Millisecond)).WithRetry(w.Limit)
+}
+
+// fillLocked opens connections for those that wait.
+func (e *endpoint) fillLocked(now time.Time) {
+	for e.queue.Len() > e.opening && e.open < e.limit && !now.Before(e.reopenAt) {
+		e.open++
+		e.opening++
+		go e.connect()
+	}
+}
+
+// connect opens one connection and hands it on.
+func (e *endpoint) connect() {
+	p := e.group.control.proxy
+	ctx, cancel := context.WithTimeout(context.Background(), connectLimit)
+	defer cancel()
+	c, err := p.seams.Endpoints.Dial(ctx, e.info)
+	now := p.now()
+	p.counts.connections.Inc(1)
+	if err != nil {
+		e.failed(now, err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.opening--
+	if err == nil {
+		l := &link{endpoint: e, conn: c, values: map[string]string{}, prepared: map[string]bool{}}
+		e.handLocked(now, l)
+		return
+	}
+	e.open--
+	e.reopenAt = now.Add(reopenPause)
+	var fault *EndpointError
+	if errors.As(err, &fault) && fault.Fault == FaultConnections {
+		e.reopenAt = now.Add(fullPause)
+	}
+	if e.open == 0 {
+		e.refuseLocked(core.NewError(core.CodeNoConnection, "could not connect to %s", e.info.Name).WithRetry(reopenPause))
+	}
+}
+
+// refuseLocked refuses all that wait.
+func (e *endpoint) refuseLocked(err error) {
+	for {
+		w, ok := e.queue.Next()
+		if !ok {
+			return
+		}
+		e.waiters[w.ID] <- grant{err: err}
+		delete(e.waiters, w.ID)
+	}
+}
+
+// handLocked gives a connection to the first that waits, or keeps it.
+func (e *endpoint) handLocked(now time.Time, l *link) {
+	if e.closed || e.open > e.limit {
+		e.dropLocked(l)
+		return
+	}
+	w, ok := e.queue.Next()
+	if !ok {
+		e.idle = append(e.idle, l)
+		return
+	}
+	l.grantedAt = now
+	e.waiters[w.ID] <- grant{link: l}
+	delete(e.waiters, w.ID)
+}
+
+// release gives a connection back; one that is no longer usable is closed.
+func (l *link) release(usable bool) {
+	e := l.endpoint
+	now := e.group.control.proxy.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queue.Held(now.Sub(l.grantedAt))
+	if usable {
+		e.handLocked(now, l)
+		return
+	}
+	e.dropLocked(l)
+	e.fillLocked(now)
+}
+
+// popLocked takes the idle connection that was used last.
+func (e *endpoint) popLocked() *link {
+	l := e.idle[len(e.idle)-1]
+	e.idle = e.idle[:len(e.idle)-1]
+	return l
+}
+
+// dropLocked closes a connection.
+func (e *endpoint) dropLocked(l *link) {
+	e.open--
+	go l.conn.Close()
+}
+
+// setup returns the statements that bring the connection to the session's values
+// and make a prepared statement known on it.
+func (l *link) setup(s *session, st *Statement) []Statement {
+	var statements []Statement
+	if !l.isWithin(s.values) {
+		statements = append(statements, Statement{Kind: KindReset})
+		l.values = map[string]string{}
+		l.prepared = map[string]bool{}
+	}
+	for name, value := range s.values {
+		if l.values[name] != value {
+			statements = append(statements, Statement{Kind: KindSet, Name: name, Value: value})
+			l.values[name] = value
+		}
+	}
+	if st.Kind == KindExecute && !l.prepared[st.Name] {
+		statements = append(statements, Statement{Kind: KindPrepare, Name: st.Name, Access: st.Access, Shape: st.Shape})
+		l.prepared[st.Name] = true
+	}
+	return statements
+}
+
+// isWithin reports whether every value on the connection has a counterpart in
+// the session.
+func (l *link) isWithin(values map[string]string) bool {
+	for name := range l.values {
+		if _, ok := values[name]; !ok {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/proxy/seams.go
@@ -0,0 +1,123 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"anviltack/core"
+)
+
+// Callers is the protocol of callers.
+type Callers struct {
+	// Start takes a new connection up to its first statement.
+	Start func(conn net.Conn) (*Caller, error)
+}
+
+// Caller is one caller's connection.
+type Caller struct {
+	Database core.Database
+	Name     core.Caller
+	// Ready tells the caller that its session began.
+	Ready func() error
+	// Next returns the caller's next statement; it fails when none comes within
+	// limit, unless that is zero.
+	Next func(limit time.Duration) (Statement, error)
+	// Answer sends the answer to the statement that Next returned last.
+	Answer func(a Answer) error
+	// Reject ends a session that did not begin.
+	Reject func(err error)
+	// Interrupt makes a waiting Next fail, unless a statement is under way.
+	Interrupt func()
+	Close     func()
+}
+
+// Endpoints is the protocol of endpoints.
+type Endpoints struct {
+	Dial func(ctx context.Context, e Endpoint) (*Conn, error)
+}
+
+// Conn is a connection to an endpoint; one goroutine uses it at a time.
+type Conn struct {
+	// Exchange sends statements together and returns as many answers as came
+	// before an error.
+	Exchange func(limit time.Duration, statements []Statement) ([]Answer, error)
+	// Status asks for the endpoint's report.
+	Status func(limit time.Duration) (Report, error)
+	// Fence makes the endpoint refuse the primaries of terms below term.
+	Fence func(limit time.Duration, term uint64, role core.Role) (Report, error)
+	// Release lifts a fence from a replica.
+	Release func(limit time.Duration) (Report, error)
+	// IsOpen reports whether the endpoint has not closed the idle connection.
+	IsOpen func() bool
+	Close  func()
+}
+
+// Endpoint is an endpoint as the directory lists it.
+type Endpoint struct {
+	Name       core.Endpoint
+	Group      core.Group
+	Address    netip.AddrPort
+	DataCentre core.DataCentre
+	// Leaving tells that the endpoint gets no new work.
+	Leaving bool
+	// Born is when the endpoint's process started, by its own clock; another
+	// value under the same name is another process.
+	Born  int64
+	Slots int
+	// Role is how the endpoint last saw itself.
+	Role core.Role
+}
+
+// Directory lists the endpoints.
+type Directory struct {
+	// Watch offers the whole list now and after each change until ctx ends.
+	Watch func(ctx context.Context, offer func([]Endpoint)) error
+}
+
+// Source gives the configuration.
+type Source struct {
+	// Watch offers the newest configuration now and after each change until ctx
+	// ends.
+	Watch func(ctx context.Context, offer func(*Config)) error
+}
+
+// Item is a value of the register; Revision is zero when there is none.
+type Item struct {
+	Revision uint64
+	Value    string
+}
+
+// Register is a small store of values that change one revision at a time.
+type Register struct {
+	Get func(ctx context.Context, key string) (Item, error)
+	// Swap replaces the value at a revision and returns the new revision, or
+	// zero when the value had another revision. After an error the change may
+	// still come.
+	Swap func(ctx context.Context, key string, revision uint64, value string) (uint64, error)
+}
+
+// Members lists the live instances.
+type Members struct {
+	// Keep holds this instance's entry and offers all of them until ctx ends.
+	Keep func(ctx context.Context, offer func(live []core.Instance)) error
+}
+
+// Promoter makes an endpoint the primary of its group.
+type Promoter struct {
+	Promote func(ctx context.Context, g core.Group, e core.Endpoint, token uint64) error
+}
+
+// Seams are everything outside the process.
+type Seams struct {
+	Callers   Callers
+	Endpoints Endpoints
+	Directory Directory
+	Source    Source
+	Register  Register
+	Members   Members
+	Promoter  Promoter
+	// Now reads a clock that counts suspension.
+	Now func() time.Time
+}
