Take the turn before fencing, at the term that the platform gives

A promoted primary without a commit of its term confirmed nothing, so that writes never opened again.

--- a/core/group/attempt.go
+++ b/core/group/attempt.go
@@ -121,6 +121,9 @@
 func (m *Machine) startFencing(now time.Time) []Action {
 	a := m.attempt
 	a.phase, a.startedAt, a.term = phaseFencing, now, m.fence+1
+	if m.givenTerms {
+		a.term = m.term + 1
+	}
 	a.fenced = make(map[core.Endpoint]core.Point)
 	a.refused = make(map[core.Endpoint]bool)
 	a.report.DecidedAt, a.report.Term = now, a.term
@@ -275,6 +278,15 @@
 	m.holdUntil = now.Add(d)
 }
 
+// Hold gives up an attempt and allows none for a while, because another instance
+// has the turn.
+func (m *Machine) Hold(now time.Time, d time.Duration) []Action {
+	m.advance(now)
+	m.abandon(now, d)
+	m.hurry(now)
+	return m.run(now)
+}
+
 // backOff ends the attempt after it failed; the random delay keeps instances
 // that competed for a term from doing so again.
 func (m *Machine) backOff(now time.Time) {
--- a/core/group/availability.go
+++ b/core/group/availability.go
@@ -91,7 +91,7 @@
 func (m *Machine) isReplicating() bool {
 	n := 0
 	for _, e := range m.members {
-		if e.holds(m.term) && e.failures == 0 && (e.Name == m.primary || m.isReachable(e, m.now)) {
+		if m.follows(e) && e.failures == 0 && (e.Name == m.primary || m.isReachable(e, m.now)) {
 			n++
 		}
 	}
--- a/core/group/confirm.go
+++ b/core/group/confirm.go
@@ -52,7 +52,7 @@
 	if e == nil || !e.isPrimary(m.term) {
 		return core.Point{}, false
 	}
-	return e.status.Durable(), true
+	return core.Point{Term: m.term, Position: e.held(m.term)}, true
 }
 
 // confirm recomputes the confirmation from the newest statuses.
@@ -66,8 +66,8 @@
 	var positions []uint64
 	var times []time.Time
 	for _, e := range m.members {
-		if e.holds(m.term) {
-			positions = append(positions, e.status.Received)
+		if m.follows(e) {
+			positions = append(positions, e.held(m.term))
 			times = append(times, e.sentAt)
 		}
 	}
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -56,7 +56,7 @@
 // majority confirmed, so that it can follow a primary that leaves.
 func (m *Machine) hasRelief(now time.Time, primary *member) bool {
 	for _, e := range m.members {
-		if e != primary && !e.Leaving && m.isReachable(e, now) && e.holds(m.term) && e.status.Received >= m.confirmed.Position {
+		if e != primary && !e.Leaving && m.isReachable(e, now) && m.follows(e) && e.held(m.term) >= m.confirmed.Position {
 			return true
 		}
 	}
--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -37,6 +37,8 @@
 	// fence is the highest term seen or tried; fence >= term.
 	fence   uint64
 	fenceAt time.Time
+	// givenTerms tells that fences do not make terms and may be lifted.
+	givenTerms bool
 	// tried is the highest term that this instance fenced with.
 	tried uint64
 	// absentSince is when the group was first seen without a primary; zero
@@ -238,6 +240,9 @@
 	if s.Term > m.term {
 		m.setTerm(s.Term, "")
 	}
+	if m.givenTerms && m.attempt == nil {
+		m.lowerFence()
+	}
 	if s.Role == core.RolePrimary && s.Term == m.term {
 		m.primary = e.Name
 	}
@@ -250,6 +255,17 @@
 	}
 }
 
+// lowerFence forgets a fence that no endpoint holds any more.
+func (m *Machine) lowerFence() {
+	highest := m.term
+	for _, e := range m.members {
+		if e.known {
+			highest = max(highest, e.status.Fence)
+		}
+	}
+	m.fence = min(m.fence, highest)
+}
+
 // setTerm moves on to a higher term.
 func (m *Machine) setTerm(term uint64, primary core.Endpoint) {
 	m.term, m.primary = term, primary
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -79,11 +79,21 @@
 	return e.refusals >= minRefusals && e.refusedLast.Sub(e.refusedFirst) >= span
 }
 
-// holds reports whether the endpoint's status counts for confirmations in term.
-func (e *member) holds(term uint64) bool {
+// follows reports whether the endpoint's status counts for confirmations in term.
+// Unless terms are given from outside, a term begins with an entry of its own.
+func (m *Machine) follows(e *member) bool {
 	s := e.status
-	return e.known && s.Term == term && s.Fence <= term &&
-		(s.Last.Term == term || s.Last == core.Point{})
+	begun := s.Last.Term == m.term || s.Last == core.Point{}
+	return e.known && s.Term == m.term && s.Fence <= m.term && (begun || m.givenTerms)
+}
+
+// held returns the position up to which the endpoint holds the log of term. A log
+// whose last entry is older may have to be cut back, so nothing of it counts.
+func (e *member) held(term uint64) uint64 {
+	if last := e.status.Last; last.Term != term && last != (core.Point{}) {
+		return 0
+	}
+	return e.status.Received
 }
 
 // isPrimary reports whether the endpoint last reported to be a primary that
--- a/core/group/option.go
+++ b/core/group/option.go
@@ -129,3 +129,10 @@
 func WithRandom(r *rand.Rand) Option {
 	return func(m *Machine) { m.random = r }
 }
+
+// WithGivenTerms tells that whoever carries out promotions gives the terms, each
+// the next after the group's, and that fences may be lifted again. Instances then
+// fence at one and the same term, and need another way to take turns.
+func WithGivenTerms() Option {
+	return func(m *Machine) { m.givenTerms = true }
+}
--- a/core/turn/turn.go
+++ b/core/turn/turn.go
@@ -4,15 +4,20 @@
 // A turn begins with a conditional change of one value in a store; the revision
 // of that change is its token. Whoever took a turn acts within Window of asking
 // for the change, and nobody takes the next one before the value has stood
-// unchanged for that long. So acts come in the order of their tokens, whatever
-// answers are lost or late.
+// unchanged for Rest. So acts come in the order of their tokens, whatever answers
+// are lost or late, and each has taken effect before the next turn begins.
 package turn
 
 import "time"
 
-// Window is how long a turn lasts from the moment it was asked for. It covers a
-// slow store's answer and one call of the platform.
-const Window = 1500 * time.Millisecond
+const (
+	// Window is how long a turn lasts from the moment it was asked for. It covers
+	// a slow store's answer, the fences and the call of a promotion.
+	Window = 1500 * time.Millisecond
+	// Rest is how long nobody takes the next turn: a window, and a second for a
+	// promotion that was called at its end to take effect.
+	Rest = Window + time.Second
+)
 
 // Turn is what an instance knows of the last turn of one group.
 type Turn struct {
@@ -36,12 +41,12 @@
 // last turn, or that of an earlier process of the same name, is over.
 func (t *Turn) Wait(now time.Time, self string) time.Duration {
 	if !t.known {
-		return Window
+		return Rest
 	}
 	if t.revision == 0 || t.owner == self {
 		return 0
 	}
-	return max(0, Window-now.Sub(t.seenAt))
+	return max(0, Rest-now.Sub(t.seenAt))
 }
 
 // Revision returns the revision that the next turn replaces.
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -102,6 +102,8 @@
 	due time.Time
 	// turn is the last one taken for the group by anyone.
 	turn turn.Turn
+	// taken is the turn that this instance acts in.
+	taken taken
 	// told are the term and the primary logged last.
 	told struct {
 		term    uint64
@@ -114,10 +116,11 @@
 	p.Sample, p.Busy, p.SampleTimeout = samplePeriod, busyPeriod, reportLimit
 	p.Silence, p.Reachable, p.Doubt, p.Pause = silence, reachable, doubt, ownPause
 	p.Absence, p.RankDelay, p.PromoteTimeout, p.Idle = absence, rankDelay, promoteLimit, maxTick
+	p.FenceTimeout = turn.Window
 	g := &groupControl{
 		control:   c,
 		group:     &group{name: name, changed: make(chan struct{})},
-		machine:   failover.New(name, core.Instance(c.proxy.settings.Instance), failover.WithPeriods(p)),
+		machine:   failover.New(name, core.Instance(c.proxy.settings.Instance), failover.WithPeriods(p), failover.WithGivenTerms()),
 		tracker:   mark.NewTracker(),
 		endpoints: make(map[core.Endpoint]*endpoint),
 	}
@@ -199,6 +202,7 @@
 
 // perform carries out actions and shows the new state.
 func (g *groupControl) perform(now time.Time, actions []failover.Action) {
+	var fences []*endpoint
 	for _, a := range actions {
 		e := g.endpoints[a.Endpoint]
 		if e == nil {
@@ -208,10 +212,12 @@
 		case failover.ActionSample:
 			go g.sample(e, now, a.Fresh)
 		case failover.ActionFence:
-			g.control.proxy.event(core.EventFailoverBegun).WithField("group", g.group.name).WithField("endpoint", a.Endpoint).WithField("term", a.Term).WithField("reason", a.Reason).Warn("fencing an endpoint")
-			go g.fence(e, a.Term)
+			if len(fences) == 0 {
+				defer func() { g.beginTurn(now, a.Term, a.Reason, fences) }()
+			}
+			fences = append(fences, e)
 		case failover.ActionPromote:
-			go g.promote(e, a.Term)
+			go g.promote(e, a.Term, g.taken)
 		case failover.ActionAskOpinions, failover.ActionAnnounce:
 			// Instances have no path to one another here.
 		}
@@ -278,19 +284,6 @@
 	}
 }
 
-// fence fences an endpoint at a term.
-func (g *groupControl) fence(e *endpoint, term uint64) {
-	role := core.RoleReplica
-	if s := g.group.state.Load(); s.primary == e {
-		role = core.RolePrimary
-	}
-	r, err := e.fence(term, role)
-	g.control.proxy.event(core.EventFailoverBegun).WithField("group", g.group.name).WithField("endpoint", e.info.Name).WithField("term", term).WithField("held", r.Fence).WithField("point", r.Last.String()).WithError(err).Info("endpoint answered a fence")
-	g.control.post(context.Background(), func(now time.Time) {
-		g.perform(now, g.machine.Fenced(now, e.info.Name, term, r.Status, err == nil && r.Fence >= term))
-	})
-}
-
 // evidence takes what traffic shows of an endpoint.
 func (g *groupControl) evidence(e *endpoint, f failover.Failure) {
 	g.control.offer(func(now time.Time) {
--- a/proxy/promote.go
+++ b/proxy/promote.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"anviltack/core"
+	failover "anviltack/core/group"
 	"anviltack/core/turn"
 )
 
@@ -31,12 +32,63 @@
 	g.control.post(ctx, func(now time.Time) { g.turn.Seen(now, item.Revision, ownerOf(item.Value)) })
 }
 
-// promote takes a turn, asks for the promotion and waits until the endpoint is
-// primary.
-func (g *groupControl) promote(e *endpoint, term uint64) {
+// taken is a turn that this instance took.
+type taken struct {
+	token uint64
+	// asked is when the turn was asked for; it ends a window later.
+	asked time.Time
+}
+
+// beginTurn takes the group's next turn and fences the endpoints in it. Without
+// the turn nothing is fenced, and the failover waits.
+func (g *groupControl) beginTurn(now time.Time, term uint64, reason failover.Reason, endpoints []*endpoint) {
+	p := g.control.proxy
+	log := p.event(core.EventFailoverBegun).WithField("group", g.group.name).WithField("term", term).WithField("reason", reason)
+	if d := g.turn.Wait(now, p.settings.Instance); d > 0 {
+		log.WithField("wait_ms", d.Milliseconds()).Info("failover waits for another instance's turn to end")
+		g.perform(now, g.machine.Hold(now, d))
+		return
+	}
+	log.Warn("failover begins")
+	go g.fenceAll(term, endpoints)
+}
+
+// fenceAll takes the turn and fences the endpoints.
+func (g *groupControl) fenceAll(term uint64, endpoints []*endpoint) {
+	p := g.control.proxy
+	t, err := g.takeTurn()
+	p.event(core.EventTurn).WithField("group", g.group.name).WithField("token", t.token).WithError(err).Info("turn asked for")
+	if err != nil {
+		g.control.post(context.Background(), func(now time.Time) { g.perform(now, g.machine.Hold(now, turnPause)) })
+		return
+	}
+	g.control.post(context.Background(), func(time.Time) { g.taken = t })
+	for _, e := range endpoints {
+		go g.fence(e, term)
+	}
+}
+
+// turnPause is how long a failover waits after the turn could not be had.
+const turnPause = 250 * time.Millisecond
+
+// fence fences an endpoint at a term.
+func (g *groupControl) fence(e *endpoint, term uint64) {
+	role := core.RoleReplica
+	if s := g.group.state.Load(); s.primary == e {
+		role = core.RolePrimary
+	}
+	r, err := e.fence(term, role)
+	g.control.proxy.event(core.EventFailoverBegun).WithField("group", g.group.name).WithField("endpoint", e.info.Name).WithField("term", term).WithField("held", r.Fence).WithField("point", r.Last.String()).WithError(err).Info("endpoint answered a fence")
+	g.control.post(context.Background(), func(now time.Time) {
+		g.perform(now, g.machine.Fenced(now, e.info.Name, term, r.Status, err == nil && r.Fence >= term))
+	})
+}
+
+// promote asks for the promotion and waits until the endpoint is primary.
+func (g *groupControl) promote(e *endpoint, term uint64, t taken) {
 	p := g.control.proxy
-	log := p.event(core.EventFailover).WithField("group", g.group.name).WithField("endpoint", e.info.Name).WithField("term", term)
-	r, err := g.turnOver(e)
+	log := p.event(core.EventFailover).WithField("group", g.group.name).WithField("endpoint", e.info.Name).WithField("term", term).WithField("token", t.token)
+	r, err := g.turnOver(e, t)
 	if err != nil {
 		log.WithError(err).Warn("promotion failed")
 	} else {
@@ -48,19 +100,15 @@
 }
 
 // turnOver makes the endpoint primary and returns its report.
-func (g *groupControl) turnOver(e *endpoint) (Report, error) {
+func (g *groupControl) turnOver(e *endpoint, t taken) (Report, error) {
 	p := g.control.proxy
-	token, asked, err := g.takeTurn()
-	if err != nil {
-		return Report{}, err
-	}
-	left := turn.Remaining(p.now(), asked)
+	left := turn.Remaining(p.now(), t.asked)
 	if left == 0 {
 		return Report{}, errTurnOver
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
-	if err := p.seams.Promoter.Promote(ctx, g.group.name, e.info.Name, token); err != nil {
+	if err := p.seams.Promoter.Promote(ctx, g.group.name, e.info.Name, t.token); err != nil {
 		return Report{}, fmt.Errorf("proxy: could not promote %s: %w", e.info.Name, err)
 	}
 	for end := p.now().Add(promoteLimit); p.now().Before(end); {
@@ -73,15 +121,14 @@
 	return Report{}, errNotPrimary
 }
 
-// takeTurn takes the group's next turn and returns its token and when it was
-// asked for.
-func (g *groupControl) takeTurn() (uint64, time.Time, error) {
+// takeTurn takes the group's next turn.
+func (g *groupControl) takeTurn() (taken, error) {
 	p := g.control.proxy
 	ctx, cancel := context.WithTimeout(context.Background(), turn.Window)
 	defer cancel()
 	item, err := p.seams.Register.Get(ctx, string(g.group.name))
 	if err != nil {
-		return 0, time.Time{}, fmt.Errorf("proxy: could not read the turn: %w", err)
+		return taken{}, fmt.Errorf("proxy: could not read the turn: %w", err)
 	}
 	wait := make(chan time.Duration, 1)
 	g.control.post(ctx, func(now time.Time) {
@@ -91,22 +138,21 @@
 	select {
 	case d := <-wait:
 		if d > 0 {
-			return 0, time.Time{}, fmt.Errorf("%w: wait %v", errTurnTaken, d)
+			return taken{}, fmt.Errorf("%w: wait %v", errTurnTaken, d)
 		}
 	case <-ctx.Done():
-		return 0, time.Time{}, ctx.Err()
+		return taken{}, ctx.Err()
 	}
-	asked := p.now()
+	t := taken{asked: p.now()}
 	value := p.settings.Instance + " " + strconv.FormatUint(rand.Uint64(), 36)
-	token, err := p.seams.Register.Swap(ctx, string(g.group.name), item.Revision, value)
+	t.token, err = p.seams.Register.Swap(ctx, string(g.group.name), item.Revision, value)
 	if err != nil {
-		token, err = g.settleTurn(ctx, value)
+		t.token, err = g.settleTurn(ctx, value)
 	}
-	p.event(core.EventTurn).WithField("group", g.group.name).WithField("token", token).WithError(err).Info("turn asked for")
-	if err == nil && token == 0 {
+	if err == nil && t.token == 0 {
 		err = errTurnTaken
 	}
-	return token, asked, err
+	return t, err
 }
 
 // settleTurn finds out whether a change without an answer was made.
