Ask no more endpoints than a majority needs, and share their connections

After a loss of power the dead connections fill an endpoint for 3 s.

Now a write's own answer witnesses for the primary, and one replica is asked; reports go over the statements' connections, which close when unused; a primary is silent when it owes an answer, so samples may be far apart; a read waits for a replica that is expected to catch up within its target.

--- a/core/group/availability.go
+++ b/core/group/availability.go
@@ -83,6 +83,9 @@
 	if !e.known || e.status.Term < m.term {
 		return false
 	}
+	if m.givenTerms {
+		return e.isPrimary(m.term) && m.now.Sub(m.questioned(e, m.now)) < m.periods.Doubt
+	}
 	return e.isPrimary(m.term) && m.now.Sub(e.answeredAt) < m.periods.Doubt
 }
 
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -36,6 +36,9 @@
 			return suspicion{reason: ReasonRefused, since: e.refusedFirst, suspect: e.Name}
 		}
 		heard := latest(e.answeredAt, m.heardSince, m.termAt)
+		if m.givenTerms {
+			heard = m.questioned(e, now)
+		}
 		if now.Sub(heard) >= m.periods.Silence {
 			return suspicion{reason: ReasonSilent, since: heard.Add(m.periods.Silence / 2), suspect: e.Name}
 		}
@@ -52,6 +55,15 @@
 	return suspicion{}
 }
 
+// questioned returns since when the endpoint owes an answer, now when it owes
+// none. Samples may be far apart, so time without a question does not count.
+func (m *Machine) questioned(e *member, now time.Time) time.Time {
+	if e.silentSince.IsZero() {
+		return now
+	}
+	return latest(e.silentSince, m.heardSince, m.termAt)
+}
+
 // hasRelief reports whether an endpoint that stays holds everything that a
 // majority confirmed, so that it can follow a primary that leaves.
 func (m *Machine) hasRelief(now time.Time, primary *member) bool {
--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -24,6 +24,10 @@
 	// included.
 	instances int
 	waiting   int
+	// wanted is what statements wait for that told it; zero when nothing does.
+	wanted Want
+	// wantedAt is when something was added to wanted last.
+	wantedAt time.Time
 	// now is the time of the newest event; it never goes back.
 	now time.Time
 	// heardSince is where silence starts to count: the start or the end of the
@@ -165,6 +169,43 @@
 	return m.run(now)
 }
 
+// Want is what statements wait for: a proof as of a time, and a position of a term
+// held by a majority.
+type Want struct {
+	AsOf  time.Time
+	Point core.Point
+}
+
+// Wanted adds to what statements wait for. Unlike Waiting it asks no more
+// endpoints than a majority needs.
+func (m *Machine) Wanted(now time.Time, w Want) []Action {
+	m.advance(now)
+	m.wantedAt = now
+	m.wanted.AsOf = latest(m.wanted.AsOf, w.AsOf)
+	if m.wanted.Point.Less(w.Point) {
+		m.wanted.Point = w.Point
+	}
+	return m.run(now)
+}
+
+// Witnessed takes an answer that only a primary gives, sent at sentAt with point
+// at the end of its log: it was the primary of its term then and holds the point.
+func (m *Machine) Witnessed(now time.Time, endpoint core.Endpoint, sentAt time.Time, point core.Point) []Action {
+	m.advance(now)
+	e := m.member(endpoint)
+	if e == nil || endpoint != m.primary || !e.isPrimary(m.term) {
+		return m.run(now)
+	}
+	e.answered(now)
+	if sentAt.After(e.sentAt) {
+		e.sentAt = sentAt
+	}
+	if point.Term == m.term && point.Position > e.held(m.term) {
+		e.status.Received, e.status.Last = point.Position, point
+	}
+	return m.run(now)
+}
+
 // Tick lets time pass.
 func (m *Machine) Tick(now time.Time) []Action {
 	m.advance(now)
@@ -177,6 +218,9 @@
 		return m.now.Add(activeTick)
 	}
 	next := m.now.Add(m.periods.Idle)
+	if !m.satisfied() {
+		next = m.now.Add(m.periods.Busy)
+	}
 	for _, e := range m.members {
 		if len(e.outstanding) == 0 && e.nextSample.Before(next) {
 			next = e.nextSample
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -10,6 +10,8 @@
 type Member struct {
 	Name       core.Endpoint
 	DataCentre core.DataCentre
+	// Near tells that the endpoint is in the instance's data centre.
+	Near bool
 	// Leaving tells that the endpoint gets no new work; as a primary it is
 	// relieved.
 	Leaving bool
@@ -29,6 +31,9 @@
 	refusedFirst time.Time
 	refusedLast  time.Time
 	refusals     int
+	// silentSince is when the first question went out that was not answered; zero
+	// without one.
+	silentSince time.Time
 	// failures counts every kind of failure since the last answer.
 	failures int
 	// outstanding lists when the samples still unanswered were asked for,
@@ -43,10 +48,19 @@
 // answered notes that the endpoint is alive.
 func (e *member) answered(now time.Time) {
 	e.answeredAt = now
+	e.silentSince = time.Time{}
 	e.refusals = 0
 	e.failures = 0
 }
 
+// sampled notes that a sample was asked for.
+func (e *member) sampled(now time.Time) {
+	e.outstanding = append(e.outstanding, now)
+	if e.silentSince.IsZero() {
+		e.silentSince = now
+	}
+}
+
 // failed notes a failure to reach the endpoint and when to try again.
 func (e *member) failed(now time.Time, f Failure, p *Periods) {
 	if f == FailureRefused {
--- a/core/group/schedule.go
+++ b/core/group/schedule.go
@@ -21,14 +21,17 @@
 	var actions []Action
 	for _, e := range m.members {
 		m.expire(e, now)
-		if len(e.outstanding) > 0 || now.Before(e.nextSample) {
+	}
+	asked := m.quorum(now)
+	for i, e := range m.members {
+		if len(e.outstanding) > 0 || now.Before(e.nextSample) && !(asked[i] && m.lacks(e, now)) {
 			continue
 		}
 		period := m.samplePeriod()
 		if e.failures > 0 {
 			period = m.periods.Sample
 		}
-		e.outstanding = append(e.outstanding, now)
+		e.sampled(now)
 		e.nextSample = now.Add(period)
 		actions = append(actions, Action{Kind: ActionSample, Endpoint: e.Name, Fresh: e.fresh})
 		e.fresh = false
@@ -36,6 +39,63 @@
 	return actions
 }
 
+// slowSample is how long a sample may take before another endpoint is asked as
+// well for what statements wait for: some times the work of one statement.
+const slowSample = 60 * time.Millisecond
+
+// quorum returns which members are asked for what statements wait for: a majority
+// of those that answer, the primary first, and one more for each that is slow.
+func (m *Machine) quorum(now time.Time) []bool {
+	asked := make([]bool, len(m.members))
+	if m.satisfied() {
+		return asked
+	}
+	left := m.majority()
+	choose := func(ok func(e *member) bool) {
+		for i, e := range m.members {
+			if left == 0 || asked[i] || e.failures > 0 || !ok(e) {
+				continue
+			}
+			asked[i] = true
+			if len(e.outstanding) == 0 || now.Sub(e.outstanding[0]) < slowSample {
+				left--
+			}
+		}
+	}
+	choose(func(e *member) bool { return e.Name == m.primary })
+	choose(func(e *member) bool { return e.Near && m.keepsUp(e) })
+	choose(m.keepsUp)
+	choose(func(*member) bool { return true })
+	return asked
+}
+
+// keepsUp reports whether a member held what a majority holds when it last told.
+func (m *Machine) keepsUp(e *member) bool {
+	return m.follows(e) && e.held(m.term) >= m.confirmed.Position
+}
+
+// wantedFor is how long what statements wait for is asked for; none waits longer.
+const wantedFor = 2 * time.Second
+
+// satisfied reports whether nothing is waited for.
+func (m *Machine) satisfied() bool {
+	w, c := m.wanted, m.confirmed
+	if m.now.Sub(m.wantedAt) > wantedFor {
+		return true
+	}
+	held := w.Point.Term != m.term || c.Position >= w.Point.Position
+	return !c.AsOf.Before(w.AsOf) && held
+}
+
+// lacks reports whether a new sample of the member may bring what is waited for.
+func (m *Machine) lacks(e *member, now time.Time) bool {
+	if e.sentAt.Before(m.wanted.AsOf) {
+		return true
+	}
+	behind := m.wanted.Point.Term == m.term && e.held(m.term) < m.wanted.Point.Position
+	return behind && now.Sub(e.sentAt) >= m.periods.Busy
+}
+
 // expire gives up samples without an answer and repeats them at once.
 func (m *Machine) expire(e *member, now time.Time) {
 	for len(e.outstanding) > 0 && now.Sub(e.outstanding[0]) >= m.periods.SampleTimeout {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -103,3 +103,24 @@
 	}
 	return best, best != ""
 }
+
+// minWait separates attempts at an endpoint that is expected to have caught up.
+const minWait = 10 * time.Millisecond
+
+// Wait returns when a candidate is expected to cover the need, or false when none
+// is.
+func Wait(now time.Time, n Need, candidates []Candidate) (time.Duration, bool) {
+	best := time.Duration(0)
+	found := false
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Down || c.Leaving || c.Primary {
+			continue
+		}
+		d := max(n.At.Add(c.Lag+lagMargin).Sub(now), c.BehindUntil.Sub(now), minWait)
+		if !found || d < best {
+			best, found = d, true
+		}
+	}
+	return best, found
+}
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -61,10 +61,8 @@
 	busy        int
 	behindUntil time.Time
 	evidenceAt  time.Time
-
-	// controlMu is held while the control connection is in use.
-	controlMu sync.Mutex
-	control   *Conn
+	// answeredAt is when the endpoint last answered a statement.
+	answeredAt time.Time
 }
 
 // grant is what a waiter gets.
@@ -77,8 +75,8 @@
 	return &endpoint{info: info, group: g, waiters: make(map[uint64]chan grant), limit: 1}
 }
 
-// controlConnections is how many connections of an instance's part are kept for
-// reports and fences.
+// controlConnections is how many connections of an instance's part statements
+// leave to reports and fences.
 const controlConnections = 1
 
 // setShare takes how many connections all instances together may open.
@@ -115,10 +113,27 @@
 	}
 }
 
+// overdueAfter is how long a statement may take before the endpoint is asked
+// whether it lives, if it answered nothing else meanwhile.
+const overdueAfter = 200 * time.Millisecond
+
+// expect watches over a statement that goes out now; the caller stops it.
+func (e *endpoint) expect(sentAt time.Time) *time.Timer {
+	return time.AfterFunc(overdueAfter, func() {
+		e.mu.Lock()
+		silent := e.answeredAt.Before(sentAt)
+		e.mu.Unlock()
+		if silent {
+			e.group.evidence(e, failover.FailureTimeout)
+		}
+	})
+}
+
 // answered takes the position behind an answer.
 func (e *endpoint) answered(now time.Time, a Answer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.answeredAt = now
 	e.seeLocked(a.Point.Term, a.Point)
 	var fault *EndpointError
 	if errors.As(a.Err, &fault) && fault.Fault == FaultLagging {
@@ -165,52 +180,57 @@
 	}
 }
 
-// report asks the endpoint for its report over the control connection.
+// report asks the endpoint for its report.
 func (e *endpoint) report(fresh bool) (Report, error) {
-	e.controlMu.Lock()
-	defer e.controlMu.Unlock()
-	if fresh {
-		e.hangUp()
-	}
-	return e.ask(func(c *Conn) (Report, error) { return c.Status(reportLimit) })
+	return e.ask(fresh, func(c *Conn) (Report, error) { return c.Status(reportLimit) })
 }
 
-// fence fences the endpoint over the control connection.
+// fence fences the endpoint.
 func (e *endpoint) fence(term uint64, role core.Role) (Report, error) {
-	e.controlMu.Lock()
-	defer e.controlMu.Unlock()
-	return e.ask(func(c *Conn) (Report, error) { return c.Fence(reportLimit, term, role) })
+	return e.ask(false, func(c *Conn) (Report, error) { return c.Fence(reportLimit, term, role) })
 }
 
-// ask opens the control connection if need be and uses it; the lock is held.
-func (e *endpoint) ask(use func(*Conn) (Report, error)) (Report, error) {
-	if e.control != nil && !e.control.IsOpen() {
-		e.hangUp()
-	}
-	if e.control == nil {
+// ask uses an idle connection, or a new one, for a question to the endpoint. A
+// part of the instance's connections is left free for these.
+func (e *endpoint) ask(fresh bool, use func(*Conn) (Report, error)) (Report, error) {
+	p := e.group.control.proxy
+	l := e.spare(fresh)
+	if l == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
 		defer cancel()
-		c, err := e.group.control.proxy.seams.Endpoints.Dial(ctx, e.info)
+		c, err := p.seams.Endpoints.Dial(ctx, e.info)
+		p.counts.connections.Inc(1)
 		if err != nil {
+			e.mu.Lock()
+			e.open--
+			e.mu.Unlock()
 			return Report{}, err
 		}
-		e.group.control.proxy.counts.connections.Inc(1)
-		e.control = c
+		l = newLink(e, c)
 	}
-	r, err := use(e.control)
-	e.group.control.proxy.counts.reports.Inc(1)
+	r, err := use(l.conn)
+	p.counts.reports.Inc(1)
 	var fault *EndpointError
-	if err != nil && !errors.As(err, &fault) {
-		e.hangUp()
-	}
+	l.release(err == nil || errors.As(err, &fault))
 	return r, err
 }
 
-func (e *endpoint) hangUp() {
-	if e.control != nil {
-		e.control.Close()
-		e.control = nil
+// spare takes an idle connection, or makes room for a new one and returns nil.
+// With fresh set the idle connections are closed: the last question got no answer.
+func (e *endpoint) spare(fresh bool) *link {
+	now := e.group.control.proxy.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for len(e.idle) > 0 {
+		l := e.popLocked()
+		if !fresh && l.conn.IsOpen() {
+			l.grantedAt = now
+			return l
+		}
+		e.dropLocked(l)
 	}
+	e.open++
+	return nil
 }
 
 // close ends all connections.
@@ -222,9 +242,4 @@
 	}
 	e.refuseLocked(core.NewError(core.CodeNoConnection, "%s is gone", e.info.Name))
 	e.mu.Unlock()
-	go func() {
-		e.controlMu.Lock()
-		defer e.controlMu.Unlock()
-		e.hangUp()
-	}()
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -30,13 +30,16 @@
 // Together with its setup goes only what may run without it.
 func (s *session) exchange(l *link, limit time.Duration, st Statement, together bool) (Answer, error) {
 	setup := l.setup(s, &st)
+	s.proxy.counts.own.Inc(int64(len(setup)))
 	if !together && len(setup) > 0 {
 		if err := s.prelude(l, limit, setup); err != nil {
 			return Answer{}, err
 		}
 		setup = nil
 	}
+	overdue := l.endpoint.expect(s.proxy.now())
 	answers, err := l.conn.Exchange(limit, append(setup, st))
+	overdue.Stop()
 	now := s.proxy.now()
 	if err != nil {
 		l.endpoint.failed(now, err)
@@ -76,33 +79,15 @@
 	return ""
 }
 
-// confirmation waits for the proof behind an answer.
-type confirmation struct {
-	group *group
-}
-
-// confirm makes the group's endpoints report from now on, until done is called.
-func (g *group) confirm() confirmation {
-	g.waiting.Add(1)
-	g.poke()
-	return confirmation{group: g}
-}
-
-// done ends the wish for reports.
-func (c confirmation) done() {
-	if c.group.waiting.Add(-1) == 0 {
-		c.group.poke()
-	}
-}
-
-func (g *group) poke() {
-	g.control.control.offer(func(now time.Time) { g.control.awaited(now) })
+// want makes endpoints report until a majority has shown what is wanted.
+func (g *group) want(w failover.Want) {
+	g.control.control.offer(func(now time.Time) { g.control.perform(now, g.control.machine.Wanted(now, w)) })
 }
 
 // verdict waits until the statement is confirmed or cannot be any more.
-func (c confirmation) verdict(limit time.Duration, arrived time.Time, term uint64, p core.Point) failover.Verdict {
+func (g *group) verdict(limit time.Duration, arrived time.Time, term uint64, p core.Point) failover.Verdict {
 	v := failover.VerdictPending
-	c.group.await(limit, func(s *groupState) bool {
+	g.await(limit, func(s *groupState) bool {
 		v = s.confirmed.Verdict(arrived, term, p)
 		return v != failover.VerdictPending
 	})
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -19,20 +19,19 @@
 // defaults because every report takes one of an endpoint's few slots.
 const (
 	// samplePeriod separates reports of an endpoint while nothing waits; bounded
-	// reads need some within their bound, 1.5 s at the least so far.
-	samplePeriod = 500 * time.Millisecond
+	// reads need one within their bound, 1.5 s in the configurations so far.
+	samplePeriod = 900 * time.Millisecond
 	// busyPeriod separates reports while statements wait for a confirmation.
 	busyPeriod = 10 * time.Millisecond
 	// reportLimit is how long a report may take before it is asked for again.
 	reportLimit = 300 * time.Millisecond
-	// silence is how long a primary may answer nothing: longer than a sample
-	// period and a report that was lost.
-	silence = 900 * time.Millisecond
+	// silence is how long a primary may owe an answer: two reports in a row.
+	silence = 2 * reportLimit
 	// reachable is the age of an answer up to which an endpoint counts as
-	// reachable: two sample periods.
-	reachable = 1100 * time.Millisecond
-	// doubt is the silence at which a primary is not sent new writes.
-	doubt = 850 * time.Millisecond
+	// reachable: a sample period and two reports.
+	reachable = samplePeriod + 2*reportLimit
+	// doubt is how long a primary that owes an answer is still sent new writes.
+	doubt = reportLimit
 	// ownPause is the gap between two ticks from which the instance concludes
 	// that it did not run itself.
 	ownPause = 500 * time.Millisecond
@@ -52,8 +51,6 @@
 type group struct {
 	name  core.Group
 	state atomic.Pointer[groupState]
-	// waiting counts the statements that wait for a confirmation.
-	waiting atomic.Int64
 	// queued counts the statements that wait for a primary.
 	queued  atomic.Int64
 	control *groupControl
@@ -160,7 +157,7 @@
 	g.machine.SetRank(g.rank(), 1)
 	members := make([]failover.Member, 0, len(g.endpoints))
 	for _, e := range g.endpoints {
-		members = append(members, failover.Member{Name: e.info.Name, DataCentre: e.info.DataCentre, Leaving: e.leaving.Load()})
+		members = append(members, failover.Member{Name: e.info.Name, DataCentre: e.info.DataCentre, Leaving: e.leaving.Load(), Near: string(e.info.DataCentre) == g.control.proxy.settings.DataCentre})
 	}
 	g.perform(now, g.machine.Configure(now, members))
 }
@@ -195,11 +192,6 @@
 // tick lets time pass.
 func (g *groupControl) tick(now time.Time) { g.perform(now, g.machine.Tick(now)) }
 
-// awaited tells the machine how many statements wait.
-func (g *groupControl) awaited(now time.Time) {
-	g.perform(now, g.machine.Waiting(now, int(g.group.waiting.Load())))
-}
-
 // perform carries out actions and shows the new state.
 func (g *groupControl) perform(now time.Time, actions []failover.Action) {
 	var fences []*endpoint
@@ -284,6 +276,16 @@
 	}
 }
 
+// witnessed takes an answer that only a primary gives.
+func (g *groupControl) witnessed(e *endpoint, sentAt time.Time, p core.Point) {
+	g.control.offer(func(now time.Time) {
+		if g.endpoints[e.info.Name] != e {
+			return
+		}
+		g.perform(now, g.machine.Witnessed(now, e.info.Name, sentAt, p))
+	})
+}
+
 // evidence takes what traffic shows of an endpoint.
 func (g *groupControl) evidence(e *endpoint, f failover.Failure) {
 	g.control.offer(func(now time.Time) {
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -17,10 +17,16 @@
 	values map[string]string
 	// prepared holds the names that are prepared on the connection.
 	prepared map[string]bool
+	// usedAt is when the connection was given back last.
+	usedAt time.Time
 	// grantedAt is when the present holder got the connection.
 	grantedAt time.Time
 }
 
+func newLink(e *endpoint, c *Conn) *link {
+	return &link{endpoint: e, conn: c, values: map[string]string{}, prepared: map[string]bool{}, grantedAt: e.group.control.proxy.now()}
+}
+
 // claim is a wish for a connection.
 type claim struct {
 	priority int
@@ -112,8 +118,7 @@
 	defer e.mu.Unlock()
 	e.opening--
 	if err == nil {
-		l := &link{endpoint: e, conn: c, values: map[string]string{}, prepared: map[string]bool{}}
-		e.handLocked(now, l)
+		e.handLocked(now, newLink(e, c))
 		return
 	}
 	e.open--
@@ -141,13 +146,15 @@
 
 // handLocked gives a connection to the first that waits, or keeps it.
 func (e *endpoint) handLocked(now time.Time, l *link) {
-	if e.closed || e.open > e.limit {
+	if e.closed || e.open > e.limit+controlConnections {
 		e.dropLocked(l)
 		return
 	}
 	w, ok := e.queue.Next()
 	if !ok {
+		l.usedAt = now
 		e.idle = append(e.idle, l)
+		e.trimLocked(now)
 		return
 	}
 	l.grantedAt = now
@@ -170,6 +177,21 @@
 	e.fillLocked(now)
 }
 
+// idleFor is how long a connection beyond the last one stays open without use. The
+// fewer are open, the more room is left when an instance loses power: its
+// connections are only dropped after 3 s.
+const idleFor = 1500 * time.Millisecond
+
+// trimLocked closes connections that have not been used for long. The longest
+// unused comes first in idle.
+func (e *endpoint) trimLocked(now time.Time) {
+	for len(e.idle) > 1 && now.Sub(e.idle[0].usedAt) >= idleFor {
+		l := e.idle[0]
+		e.idle = e.idle[1:]
+		e.dropLocked(l)
+	}
+}
+
 // popLocked takes the idle connection that was used last.
 func (e *endpoint) popLocked() *link {
 	l := e.idle[len(e.idle)-1]
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -21,6 +21,7 @@
 	readsMoved    metrics.Counter
 	reports       metrics.Counter
 	connections   metrics.Counter
+	own           metrics.Counter
 	closed        metrics.Counter
 	eventsDropped metrics.Counter
 	readTime      metrics.Histogram
@@ -38,6 +39,7 @@
 		readsMoved:    metrics.GetOrRegisterCounter("reads_moved", r),
 		reports:       metrics.GetOrRegisterCounter("reports", r),
 		connections:   metrics.GetOrRegisterCounter("connections_opened", r),
+		own:           metrics.GetOrRegisterCounter("own_statements", r),
 		closed:        metrics.GetOrRegisterCounter("statements_without_primary", r),
 		eventsDropped: metrics.GetOrRegisterCounter("control_events_dropped", r),
 		readTime:      histogram("read_ns"),
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return Answer{}, "", err
 	}
-	e, err := s.place(g, need, tried)
+	e, err := s.place(g, need, tried, min(left, r.Target))
 	if err != nil {
 		return Answer{}, "", err
 	}
@@ -105,8 +105,7 @@
 		return ok
 	}
 	if !find(g.state.Load()) {
-		c := g.confirm()
-		defer c.done()
+		g.want(failover.Want{AsOf: arrived})
 		if !g.await(sampleWait, find) {
 			return need, core.NewError(core.CodeNoFreshReplica, "too few endpoints of %s report to tell how fresh any is", g.name).WithRetry(retryAdvice)
 		}
@@ -120,24 +119,39 @@
 	return need, nil
 }
 
-// place chooses an endpoint for a read.
-func (s *session) place(g *group, need place.Need, tried map[core.Endpoint]bool) (*endpoint, error) {
-	state := g.state.Load()
-	now := s.proxy.now()
-	candidates := make([]place.Candidate, 0, len(state.endpoints))
-	for _, e := range state.endpoints {
-		candidates = append(candidates, e.candidate(now, e == state.primary, s.proxy.settings.DataCentre))
-	}
-	name, ok := place.Choose(now, need, candidates, tried, globalRandom)
-	if !ok {
-		return nil, core.NewError(core.CodeNoFreshReplica, "none of %d endpoints of %s can serve a read at %s", len(candidates), g.name, need.Point).WithRetry(retryAdvice)
-	}
-	for _, e := range state.endpoints {
+// place chooses an endpoint for a read. While none will do it waits for one that
+// is expected to catch up within limit.
+func (s *session) place(g *group, need place.Need, tried map[core.Endpoint]bool, limit time.Duration) (*endpoint, error) {
+	end := s.proxy.now().Add(limit)
+	for {
+		state := g.state.Load()
+		now := s.proxy.now()
+		candidates := make([]place.Candidate, 0, len(state.endpoints))
+		for _, e := range state.endpoints {
+			candidates = append(candidates, e.candidate(now, e == state.primary, s.proxy.settings.DataCentre))
+		}
+		if name, ok := place.Choose(now, need, candidates, tried, globalRandom); ok {
+			if e := state.endpoint(name); e != nil {
+				return e, nil
+			}
+		}
+		wait, ok := place.Wait(now, need, candidates)
+		if !ok || now.Add(wait).After(end) {
+			return nil, core.NewError(core.CodeNoFreshReplica, "none of %d endpoints of %s can serve a read at %s", len(candidates), g.name, need.Point).WithRetry(max(wait, retryAdvice))
+		}
+		clear(tried)
+		time.Sleep(wait)
+	}
+}
+
+// endpoint returns the endpoint of a name, nil when it is gone.
+func (s *groupState) endpoint(name core.Endpoint) *endpoint {
+	for _, e := range s.endpoints {
 		if e.info.Name == name {
-			return e, nil
+			return e
 		}
 	}
-	return nil, core.NewError(core.CodeNoFreshReplica, "endpoint %s is gone", name)
+	return nil
 }
 
 // globalRandom draws from the shared source, which goroutines may use together.
@@ -155,8 +169,7 @@
 	if err != nil {
 		return Answer{}, "", err
 	}
-	c := g.confirm()
-	defer c.done()
+	g.want(failover.Want{AsOf: arrived})
 	l, err := e.acquire(claim{priority: r.Priority, due: arrived.Add(r.Target), limit: min(left, r.Target)})
 	if err != nil {
 		return Answer{}, "", err
@@ -170,7 +183,7 @@
 		return Answer{}, e.info.Name, err
 	}
 	left = max(r.Timeout-s.proxy.now().Sub(arrived), busyPause)
-	if v := c.verdict(left, arrived, term, core.Point{Term: term}); v != failover.VerdictConfirmed {
+	if v := g.verdict(left, arrived, term, core.Point{Term: term}); v != failover.VerdictConfirmed {
 		return Answer{}, e.info.Name, core.NewError(core.CodeNoPrimary, "%s could not be proved to be the primary", e.info.Name).WithRetry(retryAdvice)
 	}
 	a.State, a.Point = StateIdle, core.Point{}
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -108,7 +108,7 @@
 		}
 		tried[e] = true
 		if faultOf(err) == FaultReadOnly || faultOf(err) == FaultBusy {
-			s.tx.group.poke()
+			s.tx.group.want(failover.Want{AsOf: s.proxy.now()})
 			time.Sleep(busyPause)
 		}
 	}
@@ -131,6 +131,7 @@
 	if err != nil {
 		return e.info.Name, err
 	}
+	sentAt := s.proxy.now()
 	a, err := s.exchange(l, min(left, readPatience), begin, false)
 	if err == nil {
 		err = a.Err
@@ -144,6 +145,9 @@
 		return e.info.Name, err
 	}
 	tx.link, tx.arrived = l, arrived
+	if tx.term > 0 && !tx.readOnly {
+		tx.group.control.witnessed(e, sentAt, core.Point{})
+	}
 	return "", nil
 }
 
@@ -157,7 +161,7 @@
 			return nil, err
 		}
 		begin.After = need.Point
-		return s.place(tx.group, need, tried)
+		return s.place(tx.group, need, tried, tx.route.Target)
 	}
 	e, term, err := s.primary(tx.group, arrived, tx.route)
 	tx.term = term
@@ -176,9 +180,8 @@
 	if tx.route.Freshness != FreshnessNewest {
 		since = since.Add(-tx.route.Staleness)
 	}
-	c := tx.group.confirm()
-	defer c.done()
-	if v := c.verdict(limit, since, tx.term, core.Point{Term: tx.term}); v != failover.VerdictConfirmed {
+	tx.group.want(failover.Want{AsOf: since})
+	if v := tx.group.verdict(limit, since, tx.term, core.Point{Term: tx.term}); v != failover.VerdictConfirmed {
 		return core.NewError(core.CodeTransactionLost, "%s could not be proved to be the primary", tx.link.endpoint.info.Name).WithRetry(retryAdvice)
 	}
 	tx.proved = true
@@ -201,7 +204,8 @@
 			return s.fail(abortedBy(err))
 		}
 	}
-	left := tx.route.Timeout - s.proxy.now().Sub(arrived)
+	c := commit{endpoint: tx.link.endpoint, sentAt: s.proxy.now(), term: tx.term, route: tx.route, group: tx.group}
+	left := tx.route.Timeout - c.sentAt.Sub(arrived)
 	a, err := s.exchange(tx.link, max(left, busyPause), st, false)
 	if err != nil {
 		s.dropTransaction()
@@ -218,7 +222,7 @@
 		return s.fail(refusedWrite(a.Err))
 	}
 	if tx.wrote {
-		return s.acknowledge(a, tx.route, tx.group, arrived, tx.term)
+		return s.acknowledge(a, c, arrived)
 	}
 	a.State, a.Point = StateIdle, core.Point{}
 	return a
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -64,13 +64,14 @@
 		if err != nil {
 			return s.fail(err)
 		}
+		sentAt := s.proxy.now()
 		a, err := s.exchange(l, left, st, false)
 		l.release(err == nil)
 		if err != nil {
 			return s.fail(writeError(err))
 		}
 		if a.Err == nil {
-			return s.acknowledge(a, r, g, arrived, term)
+			return s.acknowledge(a, commit{endpoint: e, sentAt: sentAt, term: term, route: r, group: g}, arrived)
 		}
 		last = a.Err
 		if !s.isWorthAnother(g, a.Err) {
@@ -88,7 +89,7 @@
 		time.Sleep(busyPause)
 		return true
 	case FaultReadOnly, FaultMoved:
-		g.poke()
+		g.want(failover.Want{AsOf: s.proxy.now()})
 		time.Sleep(busyPause)
 		return true
 	default:
@@ -124,17 +125,27 @@
 	}
 }
 
+// commit is a commit that an endpoint answered.
+type commit struct {
+	endpoint *endpoint
+	// sentAt is when the statement went to the endpoint, in term.
+	sentAt time.Time
+	term   uint64
+	route  Route
+	group  *group
+}
+
 // acknowledge answers a commit once a majority holds it in the primary's term.
-func (s *session) acknowledge(a Answer, r Route, g *group, arrived time.Time, term uint64) Answer {
+func (s *session) acknowledge(a Answer, c commit, arrived time.Time) Answer {
 	at := s.proxy.now()
-	c := g.confirm()
-	defer c.done()
-	left := max(r.Timeout-at.Sub(arrived), busyPause)
-	if v := c.verdict(left, arrived, term, a.Point); v != failover.VerdictConfirmed {
-		return s.fail(core.NewError(core.CodeOutcomeUnknown, "the commit at %s was not seen on a majority in term %d: %s", a.Point, term, v))
+	c.group.control.witnessed(c.endpoint, c.sentAt, a.Point)
+	c.group.want(failover.Want{Point: a.Point})
+	left := max(c.route.Timeout-at.Sub(arrived), busyPause)
+	if v := c.group.verdict(left, time.Time{}, c.term, a.Point); v != failover.VerdictConfirmed {
+		return s.fail(core.NewError(core.CodeOutcomeUnknown, "the commit at %s was not seen on a majority in term %d: %s", a.Point, c.term, v))
 	}
 	s.proxy.counts.confirmTime.Update(int64(s.proxy.now().Sub(at)))
-	s.notePoint(r.Group, a.Point, at)
+	s.notePoint(c.route.Group, a.Point, at)
 	a.State, a.Point = s.state(), core.Point{}
 	return a
 }
