Tell full endpoints from silent ones, and leave rotation when none answers

Cause: after a loss of power the endpoints are full of dead connections for 3 s and reset new ones, which counted as silence and began three failovers; cut-off instances were dropped from the shares, so that the others went over the cap; callers of a data centre that is cut off stayed with an instance that could serve nothing.

--- a/core/event.go
+++ b/core/event.go
@@ -24,4 +24,5 @@
 	EventMembers       Event = 501
 	EventEndpoint      Event = 502
 	EventTurn          Event = 503
+	EventIsolated      Event = 504
 )
--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -122,11 +122,40 @@
 	m.advance(now)
 	if e := m.member(endpoint); e != nil {
 		e.settle(sentAt)
-		e.failed(now, f, &m.periods)
+		switch {
+		case f == Answered:
+			// The endpoint lives but did not report; its other answers count.
+			e.answered(now)
+			e.postponed(now, &m.periods)
+		case m.givenTerms && f == FailureTimeout && e.answeredAt.After(sentAt):
+			e.postponed(now, &m.periods)
+		default:
+			e.failed(now, f, &m.periods)
+		}
 	}
 	return m.run(now)
 }
 
+// Reaches reports whether a majority of the members answers. A group whose members
+// are not known yet is not held to be out of reach.
+func (m *Machine) Reaches() bool {
+	n := 0
+	for _, e := range m.members {
+		if e.failures == 0 {
+			n++
+		}
+	}
+	return n >= m.majority() || len(m.members) == 0
+}
+
+// Hurry makes a sample of every member due, because another source told of a
+// change.
+func (m *Machine) Hurry(now time.Time) []Action {
+	m.advance(now)
+	m.hurry(now)
+	return m.run(now)
+}
+
 // Evidence takes what callers' traffic shows of an endpoint. A timeout may be the
 // statement's own, so it only asks for a sample.
 func (m *Machine) Evidence(now time.Time, endpoint core.Endpoint, f Failure) []Action {
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -41,6 +41,8 @@
 	outstanding []time.Time
 	// nextSample is when the next sample is due.
 	nextSample time.Time
+	// heldUntil is until when no sample is asked for, whatever is wanted.
+	heldUntil time.Time
 	// fresh asks for the next sample over a new connection.
 	fresh bool
 }
@@ -61,6 +63,12 @@
 	}
 }
 
+// postponed notes that an endpoint which lives could not report.
+func (e *member) postponed(now time.Time, p *Periods) {
+	e.nextSample = now.Add(p.SampleTimeout)
+	e.heldUntil = now.Add(p.Busy)
+}
+
 // failed notes a failure to reach the endpoint and when to try again.
 func (e *member) failed(now time.Time, f Failure, p *Periods) {
 	if f == FailureRefused {
--- a/core/group/schedule.go
+++ b/core/group/schedule.go
@@ -13,9 +13,18 @@
 	if m.isBusy() {
 		return m.periods.Busy
 	}
+	if m.givenTerms && m.isTroubled() {
+		return min(m.periods.Sample, m.periods.SampleTimeout)
+	}
 	return m.periods.Sample
 }
 
+// isTroubled reports whether a new primary may be about to come.
+func (m *Machine) isTroubled() bool {
+	e := m.member(m.primary)
+	return e == nil || e.failures > 0 || m.fence > m.term
+}
+
 // schedule returns the samples that are due.
 func (m *Machine) schedule(now time.Time) []Action {
 	var actions []Action
@@ -89,6 +98,9 @@
 
 // lacks reports whether a new sample of the member may bring what is waited for.
 func (m *Machine) lacks(e *member, now time.Time) bool {
+	if now.Before(e.heldUntil) {
+		return false
+	}
 	if e.sentAt.Before(m.wanted.AsOf) {
 		return true
 	}
@@ -99,8 +111,8 @@
 // expire gives up samples without an answer and repeats them at once.
 func (m *Machine) expire(e *member, now time.Time) {
 	for len(e.outstanding) > 0 && now.Sub(e.outstanding[0]) >= m.periods.SampleTimeout {
+		e.fresh = !m.givenTerms || e.answeredAt.Before(e.outstanding[0])
 		e.outstanding = e.outstanding[1:]
-		e.fresh = true
 		e.nextSample = now
 	}
 }
--- a/proxy/control.go
+++ b/proxy/control.go
@@ -24,12 +24,18 @@
 	listed []Endpoint
 	// live are the instances that share the endpoints.
 	live []core.Instance
+	// seen is when each instance was listed last.
+	seen map[core.Instance]time.Time
+	// unreachedSince is since when no group's majority answers; zero while one
+	// does.
+	unreachedSince time.Time
 }
 
 func newControl(p *Proxy) *control {
 	return &control{
 		proxy: p, events: make(chan func(time.Time), controlQueue),
 		groups: make(map[core.Group]*groupControl),
+		seen:   make(map[core.Instance]time.Time),
 	}
 }
 
@@ -61,9 +67,37 @@
 		}
 		pause = min(pause, g.due.Sub(now))
 	}
+	c.noteReach(now)
 	return max(pause, time.Millisecond)
 }
 
+// isolatedAfter is how long no group may answer before the instance says that it
+// is not ready: longer than one lost report.
+const isolatedAfter = 500 * time.Millisecond
+
+// noteReach keeps whether the instance reaches any group. Callers are better off
+// at another instance while it reaches none.
+func (c *control) noteReach(now time.Time) {
+	reached := len(c.groups) == 0
+	for _, g := range c.groups {
+		reached = reached || g.machine.Reaches()
+	}
+	if reached {
+		c.unreachedSince = time.Time{}
+	} else if c.unreachedSince.IsZero() {
+		c.unreachedSince = now
+	}
+	isolated := !reached && now.Sub(c.unreachedSince) >= isolatedAfter
+	if isolated == c.proxy.isolated.Load() {
+		return
+	}
+	c.proxy.isolated.Store(isolated)
+	c.proxy.event(core.EventIsolated).WithField("isolated", isolated).Warn("reach of the endpoints changed")
+	if isolated {
+		go c.proxy.moveCallers()
+	}
+}
+
 // post hands an event to the control goroutine and waits while its queue is
 // full.
 func (c *control) post(ctx context.Context, handle func(now time.Time)) {
@@ -99,8 +133,24 @@
 	c.arrange()
 }
 
-// share takes the live instances.
-func (c *control) share(live []core.Instance) {
+// absentFor is how long an instance that is no longer listed keeps its part of the
+// endpoints' connections: it may be cut off from the list only.
+const absentFor = 20 * time.Second
+
+// share takes the listed instances.
+func (c *control) share(listed []core.Instance) {
+	now := c.proxy.now()
+	for _, i := range listed {
+		c.seen[i] = now
+	}
+	var live []core.Instance
+	for i, at := range c.seen {
+		if now.Sub(at) >= absentFor {
+			delete(c.seen, i)
+			continue
+		}
+		live = append(live, i)
+	}
 	slices.Sort(live)
 	if slices.Equal(live, c.live) {
 		return
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -61,6 +61,15 @@
 	end()
 }
 
+// moveCallers ends idle sessions once new ones no longer come here, so that their
+// callers reach an instance that can serve them.
+func (p *Proxy) moveCallers() {
+	time.Sleep(leaveAfter)
+	if p.isolated.Load() && !p.drainer.isDraining() {
+		p.endSessions(false)
+	}
+}
+
 // endSessions ends idle sessions, and those in a transaction if all is set.
 func (p *Proxy) endSessions(all bool) {
 	p.mu.Lock()
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -22,7 +22,7 @@
 	// reopenPause separates attempts to connect to an endpoint that fails.
 	reopenPause = 150 * time.Millisecond
 	// fullPause separates them at one that takes no more connections.
-	fullPause = 500 * time.Millisecond
+	fullPause = 300 * time.Millisecond
 	// behindPause is for how long a replica that refused a read as too far
 	// behind is asked for no other that needs more than it is known to hold.
 	behindPause = 80 * time.Millisecond
@@ -53,6 +53,9 @@
 	closed  bool
 	// reopenAt is when a connection may be opened again.
 	reopenAt time.Time
+	// fullUntil is until when no connection is asked for, because the endpoint
+	// took no more.
+	fullUntil time.Time
 	// doubtedUntil is until when no read is sent here.
 	doubtedUntil time.Time
 	// visible is the newest point that reads here were seen to cover.
@@ -75,15 +78,11 @@
 	return &endpoint{info: info, group: g, waiters: make(map[uint64]chan grant), limit: 1}
 }
 
-// controlConnections is how many connections of an instance's part statements
-// leave to reports and fences.
-const controlConnections = 1
-
 // setShare takes how many connections all instances together may open.
 func (e *endpoint) setShare(_ time.Time, most, live int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.limit = max(1, place.Part(most, live)-controlConnections)
+	e.limit = place.Part(most, live)
 	for len(e.idle) > 0 && e.open > e.limit {
 		e.dropLocked(e.popLocked())
 	}
@@ -153,15 +152,19 @@
 	}
 }
 
-// failed takes the failure of a connection with a statement under way.
-func (e *endpoint) failed(now time.Time, err error) {
+// failed takes the failure of a connection on which something was sent at sentAt.
+// An endpoint that answered others since is slow or lost an answer, but lives.
+func (e *endpoint) failed(now, sentAt time.Time, err error) {
 	f := failureOf(err)
 	e.mu.Lock()
-	if f == failover.FailureTimeout {
+	lives := e.answeredAt.After(sentAt)
+	if f == failover.FailureTimeout && !lives {
 		e.doubtedUntil = now.Add(doubtPause)
 	}
 	e.mu.Unlock()
-	e.group.evidence(e, f)
+	if !lives || f != failover.FailureTimeout {
+		e.group.evidence(e, f)
+	}
 }
 
 // failureOf tells how an attempt to reach an endpoint failed.
@@ -194,7 +197,10 @@
 // part of the instance's connections is left free for these.
 func (e *endpoint) ask(fresh bool, use func(*Conn) (Report, error)) (Report, error) {
 	p := e.group.control.proxy
-	l := e.spare(fresh)
+	l, err := e.spare(fresh)
+	if err != nil {
+		return Report{}, err
+	}
 	if l == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
 		defer cancel()
@@ -203,6 +209,7 @@
 		if err != nil {
 			e.mu.Lock()
 			e.open--
+			e.noteFullLocked(p.now(), err)
 			e.mu.Unlock()
 			return Report{}, err
 		}
@@ -215,9 +222,18 @@
 	return r, err
 }
 
+// noteFullLocked takes the failure of a connection's opening.
+func (e *endpoint) noteFullLocked(now time.Time, err error) {
+	var fault *EndpointError
+	if errors.As(err, &fault) && fault.Fault == FaultConnections {
+		e.fullUntil = now.Add(fullPause)
+		e.reopenAt = e.fullUntil
+	}
+}
+
 // spare takes an idle connection, or makes room for a new one and returns nil.
 // With fresh set the idle connections are closed: the last question got no answer.
-func (e *endpoint) spare(fresh bool) *link {
+func (e *endpoint) spare(fresh bool) (*link, error) {
 	now := e.group.control.proxy.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -225,12 +241,18 @@
 		l := e.popLocked()
 		if !fresh && l.conn.IsOpen() {
 			l.grantedAt = now
-			return l
+			return l, nil
 		}
 		e.dropLocked(l)
 	}
+	if now.Before(e.fullUntil) {
+		return nil, &EndpointError{Fault: FaultConnections, Text: "no connection is asked for yet"}
+	}
+	if e.open > e.limit {
+		return nil, &EndpointError{Fault: FaultConnections, Text: "all connections of this instance are in use"}
+	}
 	e.open++
-	return nil
+	return nil, nil
 }
 
 // close ends all connections.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -37,12 +37,13 @@
 		}
 		setup = nil
 	}
-	overdue := l.endpoint.expect(s.proxy.now())
+	sentAt := s.proxy.now()
+	overdue := l.endpoint.expect(sentAt)
 	answers, err := l.conn.Exchange(limit, append(setup, st))
 	overdue.Stop()
 	now := s.proxy.now()
 	if err != nil {
-		l.endpoint.failed(now, err)
+		l.endpoint.failed(now, sentAt, err)
 		return Answer{}, &sentError{endpoint: l.endpoint.info.Name, err: err}
 	}
 	for _, a := range answers[:len(answers)-1] {
@@ -57,9 +58,10 @@
 
 // prelude runs the instance's own statements ahead of a caller's.
 func (s *session) prelude(l *link, limit time.Duration, setup []Statement) error {
+	sentAt := s.proxy.now()
 	answers, err := l.conn.Exchange(limit, setup)
 	if err != nil {
-		l.endpoint.failed(s.proxy.now(), err)
+		l.endpoint.failed(s.proxy.now(), sentAt, err)
 		return err
 	}
 	for _, a := range answers {
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -131,7 +131,13 @@
 // is another endpoint.
 func (g *groupControl) configure(now time.Time, list []Endpoint, s GroupSettings) {
 	kept := make(map[core.Endpoint]bool, len(list))
+	// claimed is an endpoint that calls itself primary and was not known as one.
+	var claimed core.Endpoint
+	_, known := g.machine.Primary()
 	for _, l := range list {
+		if l.Role == core.RolePrimary && l.Name != known {
+			claimed = l.Name
+		}
 		e := g.endpoints[l.Name]
 		if e != nil && (e.info.Address != l.Address || e.info.Born != l.Born) {
 			e.close()
@@ -160,6 +166,9 @@
 		members = append(members, failover.Member{Name: e.info.Name, DataCentre: e.info.DataCentre, Leaving: e.leaving.Load(), Near: string(e.info.DataCentre) == g.control.proxy.settings.DataCentre})
 	}
 	g.perform(now, g.machine.Configure(now, members))
+	if _, primary := g.machine.Primary(); claimed != "" && claimed != primary {
+		g.perform(now, g.machine.Hurry(now))
+	}
 }
 
 // track makes a new tracker when the members changed. The samples of the old one
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"anviltack/core"
@@ -27,6 +26,10 @@
 	return &link{endpoint: e, conn: c, values: map[string]string{}, prepared: map[string]bool{}, grantedAt: e.group.control.proxy.now()}
 }
 
+// reportConnections is how many connections reports may open beyond the
+// instance's part while statements hold all of it.
+const reportConnections = 1
+
 // claim is a wish for a connection.
 type claim struct {
 	priority int
@@ -112,7 +115,7 @@
 	now := p.now()
 	p.counts.connections.Inc(1)
 	if err != nil {
-		e.failed(now, err)
+		e.failed(now, now, err)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -123,10 +126,7 @@
 	}
 	e.open--
 	e.reopenAt = now.Add(reopenPause)
-	var fault *EndpointError
-	if errors.As(err, &fault) && fault.Fault == FaultConnections {
-		e.reopenAt = now.Add(fullPause)
-	}
+	e.noteFullLocked(now, err)
 	if e.open == 0 {
 		e.refuseLocked(core.NewError(core.CodeNoConnection, "could not connect to %s", e.info.Name).WithRetry(reopenPause))
 	}
@@ -146,7 +146,7 @@
 
 // handLocked gives a connection to the first that waits, or keeps it.
 func (e *endpoint) handLocked(now time.Time, l *link) {
-	if e.closed || e.open > e.limit+controlConnections {
+	if e.closed || e.open > e.limit+reportConnections {
 		e.dropLocked(l)
 		return
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -47,6 +47,8 @@
 	groups  atomic.Pointer[map[core.Group]*group]
 	control *control
 	drainer *drainer
+	// isolated tells that no group can be reached.
+	isolated atomic.Bool
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
@@ -77,7 +79,7 @@
 
 // IsReady reports whether the instance takes new sessions.
 func (p *Proxy) IsReady() bool {
-	return p.config.Load() != nil && len(*p.groups.Load()) > 0 && !p.drainer.isDraining()
+	return p.config.Load() != nil && len(*p.groups.Load()) > 0 && !p.drainer.isDraining() && !p.isolated.Load()
 }
 
 // Serve runs the instance until ctx ends or a planned stop, which begins when
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -50,6 +50,7 @@
 		return
 	}
 	defer caller.Close()
+	p.awaitConfig()
 	if _, err := p.route(caller.Database); err != nil {
 		p.refused(caller, "", err)
 		caller.Reject(err)
@@ -68,6 +69,18 @@
 	s.run()
 }
 
+// configWait is how long a new session waits for the first configuration; callers
+// wait 2 s for an answer.
+const configWait = 1500 * time.Millisecond
+
+// awaitConfig waits for the first configuration.
+func (p *Proxy) awaitConfig() {
+	const look = 20 * time.Millisecond
+	for end := p.now().Add(configWait); p.config.Load() == nil && p.now().Before(end); {
+		time.Sleep(look)
+	}
+}
+
 // route returns how a database is served now.
 func (p *Proxy) route(d core.Database) (Route, error) {
 	c := p.config.Load()
