Send an endpoint no more statements than its slots can take soon

Cause: while both replicas of a group lagged, all its statements queued on the primary behind each other, past their targets; nearly none of the group was in time.

Now each instance sends an endpoint its part of two statements for each slot, queues the rest by priority and due time, and refuses at once what would wait past its target less the usual work.

--- a/core/place/part.go
+++ b/core/place/part.go
@@ -5,3 +5,15 @@
 func Part(most, live int) int {
 	return max(1, most/max(1, live))
 }
+
+// queuedPerSlot is how many statements an endpoint gets for each of its slots: one
+// runs and one is there when it ends. More would only wait where they cannot be
+// put in order any more.
+const queuedPerSlot = 2
+
+// Depth returns how many statements each of live instances sends to an endpoint at
+// once, at least two so that one slow statement does not hold up all others.
+func Depth(slots, live int) int {
+	live = max(1, live)
+	return max(2, (queuedPerSlot*slots+live-1)/live)
+}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -44,23 +44,24 @@
 // Len returns how many wait.
 func (q *Queue) Len() int { return len(q.waiters) }
 
-// Held takes for how long a statement kept its connection.
-func (q *Queue) Held(d time.Duration) {
+// Hold returns the average time for which a statement keeps its connection.
+func (q *Queue) Hold() time.Duration {
 	if q.hold == 0 {
-		q.hold = firstHold
+		return firstHold
 	}
-	q.hold += time.Duration(smoothing * float64(d-q.hold))
+	return q.hold
+}
+
+// Held takes for how long a statement kept its connection.
+func (q *Queue) Held(d time.Duration) {
+	q.hold = q.Hold() + time.Duration(smoothing*float64(d-q.Hold()))
 }
 
 // Wait returns how long a new waiter is expected to wait for one of n
 // connections.
 func (q *Queue) Wait(w Waiter, n int) time.Duration {
 	ahead, _ := slices.BinarySearchFunc(q.waiters, w, before)
-	hold := q.hold
-	if hold == 0 {
-		hold = firstHold
-	}
-	return time.Duration(ahead+1) * hold / time.Duration(max(1, n))
+	return time.Duration(ahead+1) * q.Hold() / time.Duration(max(1, n))
 }
 
 // Add lets a waiter in unless it is expected to wait beyond its limit for one of
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -41,8 +41,13 @@
 	leaving atomic.Bool
 
 	mu sync.Mutex
-	// limit is how many connections statements may use.
+	// limit is how many connections statements may use, and most how many
+	// statements may run at once.
 	limit int
+	most  int
+	// active counts the statements that run, and the connections that are being
+	// opened for one.
+	active int
 	idle  []*link
 	// open counts the connections, idle or not, and those being opened.
 	open    int
@@ -75,7 +80,7 @@
 }
 
 func newEndpoint(g *groupControl, info Endpoint) *endpoint {
-	return &endpoint{info: info, group: g, waiters: make(map[uint64]chan grant), limit: 1}
+	return &endpoint{info: info, group: g, waiters: make(map[uint64]chan grant), limit: 1, most: 1}
 }
 
 // setShare takes how many connections all instances together may open.
@@ -83,6 +88,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.limit = place.Part(most, live)
+	e.most = place.Depth(e.info.Slots, live)
 	for len(e.idle) > 0 && e.open > e.limit {
 		e.dropLocked(e.popLocked())
 	}
@@ -95,7 +101,7 @@
 	return place.Candidate{
 		Endpoint: e.info.Name, Primary: primary, Near: string(e.info.DataCentre) == dataCentre,
 		Visible: e.visible, Lag: e.lag, BehindUntil: e.behindUntil,
-		Load: e.open - e.opening - len(e.idle) + e.queue.Len(), Busy: e.busy, Room: e.limit, Slots: e.info.Slots,
+		Load: e.active + e.queue.Len(), Busy: e.busy, Room: e.limit, Slots: e.info.Slots,
 		Down:    e.closed || now.Before(e.doubtedUntil) || e.open == e.opening && now.Before(e.reopenAt),
 		Leaving: e.leaving.Load(),
 	}
@@ -237,13 +243,11 @@
 	now := e.group.control.proxy.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for len(e.idle) > 0 {
-		l := e.popLocked()
-		if !fresh && l.conn.IsOpen() {
-			l.grantedAt = now
-			return l, nil
-		}
-		e.dropLocked(l)
+	for fresh && len(e.idle) > 0 {
+		e.dropLocked(e.popLocked())
+	}
+	if l := e.idleLocked(); l != nil {
+		return l, nil
 	}
 	if now.Before(e.fullUntil) {
 		return nil, &EndpointError{Fault: FaultConnections, Text: "no connection is asked for yet"}
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -18,12 +18,13 @@
 	prepared map[string]bool
 	// usedAt is when the connection was given back last.
 	usedAt time.Time
-	// grantedAt is when the present holder got the connection.
+	// grantedAt is when the statement that runs on the connection was let through;
+	// zero while none runs.
 	grantedAt time.Time
 }
 
 func newLink(e *endpoint, c *Conn) *link {
-	return &link{endpoint: e, conn: c, values: map[string]string{}, prepared: map[string]bool{}, grantedAt: e.group.control.proxy.now()}
+	return &link{endpoint: e, conn: c, values: map[string]string{}, prepared: map[string]bool{}}
 }
 
 // reportConnections is how many connections reports may open beyond the
@@ -38,8 +39,17 @@
 	limit time.Duration
 }
 
-// acquire returns a connection once one is free. An error is a *core.Error:
-// nothing was sent.
+// patience is how long a statement may wait for a connection and still be answered
+// within its target; beyond it only less would be served in time.
+func (e *endpoint) patience(arrived time.Time, left time.Duration, r Route) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	elapsed := e.group.control.proxy.now().Sub(arrived)
+	return max(0, min(left, r.Target-elapsed)-e.queue.Hold())
+}
+
+// acquire returns a connection once one is free and the endpoint is to get another
+// statement. An error is a *core.Error: nothing was sent.
 func (e *endpoint) acquire(c claim) (*link, error) {
 	now := e.group.control.proxy.now()
 	e.mu.Lock()
@@ -47,17 +57,6 @@
 		e.mu.Unlock()
 		return nil, core.NewError(core.CodeNoConnection, "%s is gone", e.info.Name)
 	}
-	if e.queue.Len() == 0 {
-		for len(e.idle) > 0 {
-			l := e.popLocked()
-			if l.conn.IsOpen() {
-				l.grantedAt = now
-				e.mu.Unlock()
-				return l, nil
-			}
-			e.dropLocked(l)
-		}
-	}
 	if e.open == e.opening && now.Before(e.reopenAt) {
 		retry := e.reopenAt.Sub(now)
 		e.mu.Unlock()
@@ -65,14 +64,14 @@
 	}
 	e.lastID++
 	w := queue.Waiter{ID: e.lastID, Priority: c.priority, Due: c.due, Limit: c.limit}
-	if !e.queue.Add(w, e.limit) {
-		wait := e.queue.Wait(w, e.limit)
+	if !e.queue.Add(w, e.most) {
+		wait := e.queue.Wait(w, e.most)
 		e.mu.Unlock()
 		return nil, core.NewError(core.CodeOverloaded, "the queue for %s is %v long", e.info.Name, wait.Round(time.Millisecond)).WithRetry(wait)
 	}
 	granted := make(chan grant, 1)
 	e.waiters[w.ID] = granted
-	e.fillLocked(now)
+	e.serveLocked(now)
 	e.mu.Unlock()
 	return e.await(w, granted)
 }
@@ -97,15 +96,39 @@
 	return nil, core.NewError(core.CodeOverloaded, "no connection to %s came free in %v", e.info.Name, w.Limit.Round(time.Millisecond)).WithRetry(w.Limit)
 }
 
-// fillLocked opens connections for those that wait.
-func (e *endpoint) fillLocked(now time.Time) {
-	for e.queue.Len() > e.opening && e.open < e.limit && !now.Before(e.reopenAt) {
+// serveLocked gives connections to those that wait, as far as the endpoint is to
+// get more statements, and opens connections where none is idle.
+func (e *endpoint) serveLocked(now time.Time) {
+	for e.queue.Len() > 0 && e.active < e.most {
+		l := e.idleLocked()
+		if l == nil {
+			break
+		}
+		w, _ := e.queue.Next()
+		l.grantedAt = now
+		e.active++
+		e.waiters[w.ID] <- grant{link: l}
+		delete(e.waiters, w.ID)
+	}
+	for e.queue.Len() > e.opening && e.active+e.opening < e.most && e.open < e.limit && !now.Before(e.reopenAt) {
 		e.open++
 		e.opening++
 		go e.connect()
 	}
 }
 
+// idleLocked takes an idle connection that is still open, or returns nil.
+func (e *endpoint) idleLocked() *link {
+	for len(e.idle) > 0 {
+		l := e.popLocked()
+		if l.conn.IsOpen() {
+			return l
+		}
+		e.dropLocked(l)
+	}
+	return nil
+}
+
 // connect opens one connection and hands it on.
 func (e *endpoint) connect() {
 	p := e.group.control.proxy
@@ -121,7 +144,7 @@
 	defer e.mu.Unlock()
 	e.opening--
 	if err == nil {
-		e.handLocked(now, newLink(e, c))
+		e.keepLocked(now, newLink(e, c))
 		return
 	}
 	e.open--
@@ -144,22 +167,16 @@
 	}
 }
 
-// handLocked gives a connection to the first that waits, or keeps it.
-func (e *endpoint) handLocked(now time.Time, l *link) {
+// keepLocked takes a connection that is not used any more.
+func (e *endpoint) keepLocked(now time.Time, l *link) {
 	if e.closed || e.open > e.limit+reportConnections {
 		e.dropLocked(l)
 		return
 	}
-	w, ok := e.queue.Next()
-	if !ok {
-		l.usedAt = now
-		e.idle = append(e.idle, l)
-		e.trimLocked(now)
-		return
-	}
-	l.grantedAt = now
-	e.waiters[w.ID] <- grant{link: l}
-	delete(e.waiters, w.ID)
+	l.usedAt = now
+	e.idle = append(e.idle, l)
+	e.serveLocked(now)
+	e.trimLocked(now)
 }
 
 // release gives a connection back; one that is no longer usable is closed.
@@ -168,13 +185,45 @@
 	now := e.group.control.proxy.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.queue.Held(now.Sub(l.grantedAt))
+	e.pauseLocked(now, l)
 	if usable {
-		e.handLocked(now, l)
+		e.keepLocked(now, l)
 		return
 	}
 	e.dropLocked(l)
-	e.fillLocked(now)
+	e.serveLocked(now)
+}
+
+// pause notes that the statement on a connection that is kept has ended.
+func (l *link) pause() {
+	e := l.endpoint
+	now := e.group.control.proxy.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pauseLocked(now, l)
+	e.serveLocked(now)
+}
+
+func (e *endpoint) pauseLocked(now time.Time, l *link) {
+	if l.grantedAt.IsZero() {
+		return
+	}
+	e.active--
+	e.queue.Held(now.Sub(l.grantedAt))
+	l.grantedAt = time.Time{}
+}
+
+// resume notes that a statement begins on a connection that was kept. It does not
+// wait: others wait for its transaction to end.
+func (l *link) resume() {
+	e := l.endpoint
+	now := e.group.control.proxy.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if l.grantedAt.IsZero() {
+		e.active++
+		l.grantedAt = now
+	}
 }
 
 // idleFor is how long a connection beyond the last one stays open without use. The
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -63,7 +63,9 @@
 	tx.wrote = tx.wrote || access == KindWrite
 	for range writeTries {
 		left := max(tx.route.Timeout-s.proxy.now().Sub(arrived), busyPause)
+		tx.link.resume()
 		a, err := s.exchange(tx.link, left, st, access == KindRead)
+		tx.link.pause()
 		if err != nil {
 			s.dropTransaction()
 			return s.fail(core.NewError(core.CodeTransactionLost, "%v", err).WithRetry(retryAdvice))
@@ -127,7 +129,7 @@
 	if err != nil {
 		return "", err
 	}
-	l, err := e.acquire(claim{priority: tx.route.Priority, due: arrived.Add(tx.route.Target), limit: min(left, tx.route.Target)})
+	l, err := e.acquire(claim{priority: tx.route.Priority, due: arrived.Add(tx.route.Target), limit: e.patience(arrived, left, tx.route)})
 	if err != nil {
 		return e.info.Name, err
 	}
@@ -206,6 +208,7 @@
 	}
 	c := commit{endpoint: tx.link.endpoint, sentAt: s.proxy.now(), term: tx.term, route: tx.route, group: tx.group}
 	left := tx.route.Timeout - c.sentAt.Sub(arrived)
+	tx.link.resume()
 	a, err := s.exchange(tx.link, max(left, busyPause), st, false)
 	if err != nil {
 		s.dropTransaction()
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -60,7 +60,7 @@
 		if err != nil {
 			return s.fail(err)
 		}
-		l, err := e.acquire(claim{priority: r.Priority, due: arrived.Add(r.Target), limit: min(left, r.Target)})
+		l, err := e.acquire(claim{priority: r.Priority, due: arrived.Add(r.Target), limit: e.patience(arrived, left, r)})
 		if err != nil {
 			return s.fail(err)
 		}
