Let a primary show by a witness that it is one, and samples be sparse

A primary need not report: opening and ending a transaction that may write shows its role and its position and takes no slot. Of the replicas only as many report in a period as a majority needs, in turn.

--- a/core/group/action.go
+++ b/core/group/action.go
@@ -10,6 +10,7 @@
 // The kinds of actions.
 const (
 	ActionSample      ActionKind = "sample"
+	ActionWitness     ActionKind = "witness"
 	ActionFence       ActionKind = "fence"
 	ActionPromote     ActionKind = "promote"
 	ActionAskOpinions ActionKind = "ask-opinions"
--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -43,6 +43,8 @@
 	fenceAt time.Time
 	// givenTerms tells that fences do not make terms and may be lifted.
 	givenTerms bool
+	// sparse tells that samples are dear.
+	sparse bool
 	// tried is the highest term that this instance fenced with.
 	tried uint64
 	// absentSince is when the group was first seen without a primary; zero
@@ -222,10 +224,15 @@
 func (m *Machine) Witnessed(now time.Time, endpoint core.Endpoint, sentAt time.Time, point core.Point) []Action {
 	m.advance(now)
 	e := m.member(endpoint)
-	if e == nil || endpoint != m.primary || !e.isPrimary(m.term) {
+	if e == nil {
+		return m.run(now)
+	}
+	e.settle(sentAt)
+	if endpoint != m.primary || !e.isPrimary(m.term) {
 		return m.run(now)
 	}
 	e.answered(now)
+	e.nextSample = latest(e.nextSample, sentAt.Add(m.periods.Sample))
 	if sentAt.After(e.sentAt) {
 		e.sentAt = sentAt
 	}
@@ -235,6 +242,21 @@
 	return m.run(now)
 }
 
+// Unwitnessed takes an answer by which an endpoint denies that it is primary; a
+// sample will tell what it is.
+func (m *Machine) Unwitnessed(now time.Time, endpoint core.Endpoint, sentAt time.Time) []Action {
+	m.advance(now)
+	if e := m.member(endpoint); e != nil {
+		e.settle(sentAt)
+		e.answered(now)
+		if e.status.Role == core.RolePrimary {
+			e.status.Role = core.RoleReplica
+		}
+		e.nextSample = now
+	}
+	return m.run(now)
+}
+
 // Tick lets time pass.
 func (m *Machine) Tick(now time.Time) []Action {
 	m.advance(now)
@@ -251,7 +273,7 @@
 		next = m.now.Add(m.periods.Busy)
 	}
 	for _, e := range m.members {
-		if len(e.outstanding) == 0 && e.nextSample.Before(next) {
+		if len(e.outstanding) == 0 && e.nextSample.Before(next) && !(m.sparse && e.nextSample.Before(m.now)) {
 			next = e.nextSample
 		}
 	}
--- a/core/group/schedule.go
+++ b/core/group/schedule.go
@@ -5,7 +5,7 @@
 // isBusy reports whether something waits for the next confirmation: a statement
 // or the group itself, at the start of a term.
 func (m *Machine) isBusy() bool {
-	return m.waiting > 0 || m.primary != "" && m.confirmed.AsOf.IsZero()
+	return m.waiting > 0 || !m.sparse && m.primary != "" && m.confirmed.AsOf.IsZero()
 }
 
 // samplePeriod returns the time between two samples of one endpoint.
@@ -32,17 +32,18 @@
 		m.expire(e, now)
 	}
 	asked := m.quorum(now)
+	due := m.due(now)
 	for i, e := range m.members {
-		if len(e.outstanding) > 0 || now.Before(e.nextSample) && !(asked[i] && m.lacks(e, now)) {
+		if len(e.outstanding) > 0 || !due[i] && !(asked[i] && m.lacks(e, now)) {
 			continue
 		}
 		period := m.samplePeriod()
 		if e.failures > 0 {
-			period = m.periods.Sample
+			period = m.failedPeriod()
 		}
 		e.sampled(now)
 		e.nextSample = now.Add(period)
-		actions = append(actions, Action{Kind: ActionSample, Endpoint: e.Name, Fresh: e.fresh})
+		actions = append(actions, Action{Kind: m.question(e), Endpoint: e.Name, Fresh: e.fresh})
 		e.fresh = false
 	}
 	return actions
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -39,6 +39,9 @@
 	info    Endpoint
 	group   *groupControl
 	leaving atomic.Bool
+	// unreported tells that the last report failed; it is the control
+	// goroutine's.
+	unreported bool
 
 	mu sync.Mutex
 	// limit is how many connections statements may use, and most how many
@@ -48,7 +51,7 @@
 	// active counts the statements that run, and the connections that are being
 	// opened for one.
 	active int
-	idle  []*link
+	idle   []*link
 	// open counts the connections, idle or not, and those being opened.
 	open    int
 	opening int
@@ -134,15 +137,17 @@
 	})
 }
 
-// answered takes the position behind an answer.
-func (e *endpoint) answered(now time.Time, a Answer) {
+// answered takes the position behind an answer to a statement that needed what the
+// group held at need; zero when it needed nothing.
+func (e *endpoint) answered(now, need time.Time, a Answer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.answeredAt = now
 	e.seeLocked(a.Point.Term, a.Point)
 	var fault *EndpointError
-	if errors.As(a.Err, &fault) && fault.Fault == FaultLagging {
+	if errors.As(a.Err, &fault) && fault.Fault == FaultLagging && !need.IsZero() {
 		e.behindUntil = now.Add(behindPause)
+		e.lag = max(e.lag, now.Sub(need))
 	}
 	if now.Sub(e.evidenceAt) >= evidencePeriod {
 		e.evidenceAt = now
@@ -228,6 +233,16 @@
 	return r, err
 }
 
+// noteReport logs when an endpoint begins or ceases to leave reports out; only the
+// control goroutine calls it.
+func (e *endpoint) noteReport(err error) {
+	if (err != nil) == e.unreported {
+		return
+	}
+	e.unreported = err != nil
+	e.group.control.proxy.event(core.EventSampleFailed).WithField("group", e.group.group.name).WithField("endpoint", e.info.Name).WithField("failing", e.unreported).WithError(err).Info("reports of an endpoint")
+}
+
 // noteFullLocked takes the failure of a connection's opening.
 func (e *endpoint) noteFullLocked(now time.Time, err error) {
 	var fault *EndpointError
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -52,7 +52,7 @@
 		}
 	}
 	a := answers[len(answers)-1]
-	l.endpoint.answered(now, a)
+	l.endpoint.answered(now, st.AfterAt, a)
 	return a, nil
 }
 
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -20,7 +20,7 @@
 const (
 	// samplePeriod separates reports of an endpoint while nothing waits; bounded
 	// reads need one within their bound, 1.5 s in the configurations so far.
-	samplePeriod = 900 * time.Millisecond
+	samplePeriod = 1150 * time.Millisecond
 	// busyPeriod separates reports while statements wait for a confirmation.
 	busyPeriod = 10 * time.Millisecond
 	// reportLimit is how long a report may take before it is asked for again.
@@ -28,8 +28,8 @@
 	// silence is how long a primary may owe an answer: two reports in a row.
 	silence = 2 * reportLimit
 	// reachable is the age of an answer up to which an endpoint counts as
-	// reachable: a sample period and two reports.
-	reachable = samplePeriod + 2*reportLimit
+	// reachable: replicas report in every other period.
+	reachable = 2*samplePeriod + 2*reportLimit
 	// doubt is how long a primary that owes an answer is still sent new writes.
 	doubt = reportLimit
 	// ownPause is the gap between two ticks from which the instance concludes
@@ -117,7 +117,7 @@
 	g := &groupControl{
 		control:   c,
 		group:     &group{name: name, changed: make(chan struct{})},
-		machine:   failover.New(name, core.Instance(c.proxy.settings.Instance), failover.WithPeriods(p), failover.WithGivenTerms()),
+		machine:   failover.New(name, core.Instance(c.proxy.settings.Instance), failover.WithPeriods(p), failover.WithGivenTerms(), failover.WithSparseSamples()),
 		tracker:   mark.NewTracker(),
 		endpoints: make(map[core.Endpoint]*endpoint),
 	}
@@ -212,6 +212,8 @@
 		switch a.Kind {
 		case failover.ActionSample:
 			go g.sample(e, now, a.Fresh)
+		case failover.ActionWitness:
+			go g.witness(e, now, a.Fresh)
 		case failover.ActionFence:
 			if len(fences) == 0 {
 				defer func() { g.beginTurn(now, a.Term, a.Reason, fences) }()
@@ -260,6 +262,7 @@
 		if g.endpoints[e.info.Name] != e {
 			return
 		}
+		e.noteReport(err)
 		if err != nil {
 			g.perform(now, g.machine.SampleFailed(now, e.info.Name, sentAt, failureOf(err)))
 			return
@@ -274,6 +277,39 @@
 	})
 }
 
+// witness asks the primary whether it still takes itself for one.
+func (g *groupControl) witness(e *endpoint, sentAt time.Time, fresh bool) {
+	var point core.Point
+	_, err := e.ask(fresh, func(c *Conn) (Report, error) {
+		var err error
+		point, err = c.Witness(reportLimit)
+		return Report{}, err
+	})
+	g.control.post(context.Background(), func(now time.Time) {
+		switch {
+		case g.endpoints[e.info.Name] != e:
+		case err == nil:
+			g.noteWitness(now, e, sentAt, point)
+		case faultOf(err) == FaultReadOnly:
+			g.perform(now, g.machine.Unwitnessed(now, e.info.Name, sentAt))
+		default:
+			e.noteReport(err)
+			g.perform(now, g.machine.SampleFailed(now, e.info.Name, sentAt, failureOf(err)))
+		}
+	})
+}
+
+// noteWitness takes an answer that only a primary gives.
+func (g *groupControl) noteWitness(now time.Time, e *endpoint, sentAt time.Time, p core.Point) {
+	e.noteReport(nil)
+	actions := g.machine.Witnessed(now, e.info.Name, sentAt, p)
+	if s, at, ok := g.machine.Status(e.info.Name); ok && s.Role == core.RolePrimary {
+		s.Term = s.Last.Term
+		g.tracker.Observe(e.info.Name, at, s)
+	}
+	g.perform(now, actions)
+}
+
 // unseat tells a primary that was replaced.
 func (g *groupControl) unseat(e *endpoint, r Report) {
 	term, primary := g.machine.Primary()
@@ -288,10 +324,9 @@
 // witnessed takes an answer that only a primary gives.
 func (g *groupControl) witnessed(e *endpoint, sentAt time.Time, p core.Point) {
 	g.control.offer(func(now time.Time) {
-		if g.endpoints[e.info.Name] != e {
-			return
+		if g.endpoints[e.info.Name] == e {
+			g.noteWitness(now, e, sentAt, p)
 		}
-		g.perform(now, g.machine.Witnessed(now, e.info.Name, sentAt, p))
 	})
 }
 
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return Answer{}, e.info.Name, err
 	}
-	st.After = need.Point
+	st.After, st.AfterAt = need.Point, need.At
 	a, err := s.exchange(l, min(left, readPatience), st, true)
 	l.release(err == nil)
 	if err == nil {
--- a/proxy/seams.go
+++ b/proxy/seams.go
@@ -45,6 +45,9 @@
 	Exchange func(limit time.Duration, statements []Statement) ([]Answer, error)
 	// Status asks for the endpoint's report.
 	Status func(limit time.Duration) (Report, error)
+	// Witness returns the end of the endpoint's log if it takes itself for the
+	// primary, and an EndpointError with FaultReadOnly if not.
+	Witness func(limit time.Duration) (core.Point, error)
 	// Fence makes the endpoint refuse the primaries of terms below term.
 	Fence func(limit time.Duration, term uint64, role core.Role) (Report, error)
 	// Release lifts a fence from a replica.
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -48,6 +48,8 @@
 	Arguments string
 	// After is the point that the endpoint's log must hold; zero asks for none.
 	After core.Point
+	// AfterAt is when the group held After at the latest.
+	AfterAt time.Time
 }
 
 // State is where a session stands in a transaction.
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -162,7 +162,7 @@
 		if err != nil {
 			return nil, err
 		}
-		begin.After = need.Point
+		begin.After, begin.AfterAt = need.Point, need.At
 		return s.place(tx.group, need, tried, tx.route.Target)
 	}
 	e, term, err := s.primary(tx.group, arrived, tx.route)
