Take a primary's witness as a sample only with the end of its log

Also: all endpoints are asked where a majority is asked in vain for 25 ms (a deaf replica in the own data centre held up confirmations and began a failover); every instance reads the turn with each new term, so that its age is known at the next failover (2.5 s were lost); an instance that the store does not answer acts last.

--- a/core/group/confirm.go
+++ b/core/group/confirm.go
@@ -79,10 +79,12 @@
 	slices.SortFunc(times, time.Time.Compare)
 	if p := positions[len(positions)-n]; p > c.Position {
 		c.Position = p
+		m.unmetSince = now
 		m.advancedAt = now
 	}
 	if t := times[len(times)-n]; t.After(c.AsOf) {
 		c.AsOf = t
+		m.unmetSince = now
 	}
 	m.noteAhead(now)
 	m.resume(now)
--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -28,6 +28,8 @@
 	wanted Want
 	// wantedAt is when something was added to wanted last.
 	wantedAt time.Time
+	// unmetSince is since when nothing that was wanted was shown.
+	unmetSince time.Time
 	// now is the time of the newest event; it never goes back.
 	now time.Time
 	// heardSince is where silence starts to count: the start or the end of the
@@ -211,6 +213,9 @@
 // endpoints than a majority needs.
 func (m *Machine) Wanted(now time.Time, w Want) []Action {
 	m.advance(now)
+	if m.satisfied() {
+		m.unmetSince = now
+	}
 	m.wantedAt = now
 	m.wanted.AsOf = latest(m.wanted.AsOf, w.AsOf)
 	if m.wanted.Point.Less(w.Point) {
--- a/core/group/schedule.go
+++ b/core/group/schedule.go
@@ -53,6 +53,10 @@
 // well for what statements wait for: some times the work of one statement.
 const slowSample = 60 * time.Millisecond
 
+// unmetFor is how long a majority may be asked in vain before all are: a replica
+// that answers but receives nothing must not hold up what another one has.
+const unmetFor = 25 * time.Millisecond
+
 // quorum returns which members are asked for what statements wait for: a majority
 // of those that answer, the primary first, and one more for each that is slow.
 func (m *Machine) quorum(now time.Time) []bool {
@@ -61,6 +65,9 @@
 		return asked
 	}
 	left := m.majority()
+	if now.Sub(m.unmetSince) >= unmetFor {
+		left = len(m.members)
+	}
 	choose := func(ok func(e *member) bool) {
 		for i, e := range m.members {
 			if left == 0 || asked[i] || e.failures > 0 || !ok(e) {
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -24,7 +24,7 @@
 	// busyPeriod separates reports while statements wait for a confirmation.
 	busyPeriod = 10 * time.Millisecond
 	// reportLimit is how long a report may take before it is asked for again.
-	reportLimit = 300 * time.Millisecond
+	reportLimit = 220 * time.Millisecond
 	// silence is how long a primary may owe an answer: two reports in a row.
 	silence = 2 * reportLimit
 	// reachable is the age of an answer up to which an endpoint counts as
@@ -160,7 +160,7 @@
 		}
 	}
 	g.track()
-	g.machine.SetRank(g.rank(), 1)
+	g.rerank()
 	members := make([]failover.Member, 0, len(g.endpoints))
 	for _, e := range g.endpoints {
 		members = append(members, failover.Member{Name: e.info.Name, DataCentre: e.info.DataCentre, Leaving: e.leaving.Load(), Near: string(e.info.DataCentre) == g.control.proxy.settings.DataCentre})
@@ -198,8 +198,21 @@
 	return rank
 }
 
+// rerank tells the machine when it may act. An instance that the register does not
+// answer comes after all others.
+func (g *groupControl) rerank() {
+	rank := g.rank()
+	if !g.control.proxy.seams.Register.Usable() {
+		rank += len(g.control.live)
+	}
+	g.machine.SetRank(rank, 1)
+}
+
 // tick lets time pass.
-func (g *groupControl) tick(now time.Time) { g.perform(now, g.machine.Tick(now)) }
+func (g *groupControl) tick(now time.Time) {
+	g.rerank()
+	g.perform(now, g.machine.Tick(now))
+}
 
 // perform carries out actions and shows the new state.
 func (g *groupControl) perform(now time.Time, actions []failover.Action) {
@@ -250,6 +263,9 @@
 	s.history = s.history.Clone()
 	g.group.publish(s)
 	if term != g.told.term || primary != g.told.primary {
+		if term != g.told.term {
+			go g.control.proxy.learnTurn(g)
+		}
 		g.told.term, g.told.primary = term, primary
 		g.control.proxy.event(core.EventPrimary).WithField("group", g.group.name).WithField("term", term).WithField("primary", primary).Info("primary known")
 	}
@@ -299,15 +315,14 @@
 	})
 }
 
-// noteWitness takes an answer that only a primary gives.
+// noteWitness takes an answer that only a primary gives. It is a sample of the
+// primary's log only if it came with the end of the log.
 func (g *groupControl) noteWitness(now time.Time, e *endpoint, sentAt time.Time, p core.Point) {
 	e.noteReport(nil)
-	actions := g.machine.Witnessed(now, e.info.Name, sentAt, p)
-	if s, at, ok := g.machine.Status(e.info.Name); ok && s.Role == core.RolePrimary {
-		s.Term = s.Last.Term
-		g.tracker.Observe(e.info.Name, at, s)
+	if p != (core.Point{}) {
+		g.tracker.Observe(e.info.Name, sentAt, core.Status{Role: core.RolePrimary, Term: p.Term, Received: p.Position, Last: p})
 	}
-	g.perform(now, actions)
+	g.perform(now, g.machine.Witnessed(now, e.info.Name, sentAt, p))
 }
 
 // unseat tells a primary that was replaced.
--- a/proxy/seams.go
+++ b/proxy/seams.go
@@ -99,6 +99,8 @@
 	// zero when the value had another revision. After an error the change may
 	// still come.
 	Swap func(ctx context.Context, key string, revision uint64, value string) (uint64, error)
+	// Usable reports whether the last call to the store was answered as hoped.
+	Usable func() bool
 }
 
 // Members lists the live instances.
