--- a/core/group/confirm.go
+++ b/core/group/confirm.go
@@ -79,7 +79,7 @@
 	slices.SortFunc(times, time.Time.Compare)
 	if p := positions[len(positions)-n]; p > c.Position {
 		c.Position = p
-		m.unmetSince = now
+		m.unmetSince, m.behindSince = now, now
 		m.advancedAt = now
 	}
 	if t := times[len(times)-n]; t.After(c.AsOf) {
@@ -103,6 +103,9 @@
 // stalled returns how long the primary has held a position that no majority
 // holds, without any progress.
 func (m *Machine) stalled(now time.Time) time.Duration {
+	if m.sparse {
+		return m.stalledInVain(now)
+	}
 	if m.unconfirmedAt.IsZero() {
 		return 0
 	}
--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -28,8 +28,10 @@
 	wanted Want
 	// wantedAt is when something was added to wanted last.
 	wantedAt time.Time
-	// unmetSince is since when nothing that was wanted was shown.
-	unmetSince time.Time
+	// unmetSince is since when nothing that was wanted was shown, and behindSince
+	// since when no majority held more of what was wanted.
+	unmetSince  time.Time
+	behindSince time.Time
 	// now is the time of the newest event; it never goes back.
 	now time.Time
 	// heardSince is where silence starts to count: the start or the end of the
@@ -218,6 +220,9 @@
 	}
 	m.wantedAt = now
 	m.wanted.AsOf = latest(m.wanted.AsOf, w.AsOf)
+	if !m.isBehind() {
+		m.behindSince = now
+	}
 	if m.wanted.Point.Less(w.Point) {
 		m.wanted.Point = w.Point
 	}
--- a/core/group/schedule.go
+++ b/core/group/schedule.go
@@ -94,14 +94,13 @@
 // wantedFor is how long what statements wait for is asked for; none waits longer.
 const wantedFor = 2 * time.Second
 
-// satisfied reports whether nothing is waited for.
+// satisfied reports whether nothing is waited for. A position stays wanted: until a
+// majority shows it, new writes would wait in vain as well.
 func (m *Machine) satisfied() bool {
-	w, c := m.wanted, m.confirmed
-	if m.now.Sub(m.wantedAt) > wantedFor {
-		return true
+	if m.isBehind() {
+		return false
 	}
-	held := w.Point.Term != m.term || c.Position >= w.Point.Position
-	return !c.AsOf.Before(w.AsOf) && held
+	return m.now.Sub(m.wantedAt) > wantedFor || !m.confirmed.AsOf.Before(m.wanted.AsOf)
 }
 
 // lacks reports whether a new sample of the member may bring what is waited for.
@@ -112,8 +111,11 @@
 	if e.sentAt.Before(m.wanted.AsOf) {
 		return true
 	}
-	behind := m.wanted.Point.Term == m.term && e.held(m.term) < m.wanted.Point.Position
-	return behind && now.Sub(e.sentAt) >= m.periods.Busy
+	pause := m.periods.Busy
+	if now.Sub(m.unmetSince) >= m.periods.SampleTimeout {
+		pause = m.periods.SampleTimeout
+	}
+	return m.isBehind() && e.held(m.term) < m.wanted.Point.Position && now.Sub(e.sentAt) >= pause
 }
 
 // expire gives up samples without an answer and repeats them at once.
--- a/core/group/sparse.go
+++ b/core/group/sparse.go
@@ -62,3 +62,39 @@
 	}
 	return m.periods.Sample
 }
+
+// isBehind reports whether no majority holds a position that is wanted.
+func (m *Machine) isBehind() bool {
+	return m.wanted.Point.Term == m.term && m.confirmed.Position < m.wanted.Point.Position
+}
+
+// stalledInVain returns how long a position that was wanted has not been shown by a
+// majority. What the primary is ahead by without anyone asking does not count.
+func (m *Machine) stalledInVain(now time.Time) time.Duration {
+	if !m.isBehind() {
+		return 0
+	}
+	return now.Sub(latest(m.behindSince, m.heardSince, m.termAt))
+}
+
+// Unreplaced takes a proof from elsewhere that nobody replaced the primary of term
+// before asOf.
+func (m *Machine) Unreplaced(now time.Time, term uint64, asOf time.Time) []Action {
+	m.advance(now)
+	if term == m.term && !m.confirmed.Closed && asOf.After(m.confirmed.AsOf) {
+		m.confirmed.AsOf = asOf
+	}
+	return m.run(now)
+}
+
+// IsAlone reports whether the primary answers while too few others do for a
+// majority.
+func (m *Machine) IsAlone() bool {
+	e := m.member(m.primary)
+	return e != nil && e.failures == 0 && e.isPrimary(m.term) && m.attempt == nil && !m.Reaches()
+}
+
+// IsAwaited reports whether a statement waits for a proof.
+func (m *Machine) IsAwaited() bool {
+	return m.now.Sub(m.wantedAt) <= wantedFor && m.confirmed.AsOf.Before(m.wanted.AsOf)
+}
--- a/core/turn/turn.go
+++ b/core/turn/turn.go
@@ -56,3 +56,10 @@
 func Remaining(now, asked time.Time) time.Duration {
 	return max(0, Window-now.Sub(asked))
 }
+
+// Proves reports whether a read of the value that found revision shows that nobody
+// was given a turn since asOf, nor acted in an earlier one after it: the value was
+// the same for a rest before asOf.
+func (t *Turn) Proves(revision uint64, asOf time.Time) bool {
+	return t.known && revision == t.revision && !asOf.Before(t.seenAt.Add(Rest))
+}
--- a/proxy/control.go
+++ b/proxy/control.go
@@ -72,15 +72,15 @@
 }
 
 // isolatedAfter is how long no group may answer before the instance says that it
-// is not ready: longer than one lost report.
-const isolatedAfter = 500 * time.Millisecond
+// is not ready. Probes come each second and two must miss, so it may be short.
+const isolatedAfter = 150 * time.Millisecond
 
 // noteReach keeps whether the instance reaches any group. Callers are better off
 // at another instance while it reaches none.
 func (c *control) noteReach(now time.Time) {
 	reached := len(c.groups) == 0
 	for _, g := range c.groups {
-		reached = reached || g.machine.Reaches()
+		reached = reached || g.machine.Reaches() || now.Sub(g.machine.Confirmed().AsOf) < 2*alonePeriod
 	}
 	if reached {
 		c.unreachedSince = time.Time{}
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -26,6 +26,9 @@
 	// behindPause is for how long a replica that refused a read as too far
 	// behind is asked for no other that needs more than it is known to hold.
 	behindPause = 80 * time.Millisecond
+	// learnedFor is how long a lag counts that a refused read showed: a few times
+	// the pause between attempts.
+	learnedFor = 4 * behindPause
 	// evidencePeriod separates what traffic tells the control of an endpoint
 	// that answers.
 	evidencePeriod = 100 * time.Millisecond
@@ -71,7 +74,10 @@
 	lag         time.Duration
 	busy        int
 	behindUntil time.Time
-	evidenceAt  time.Time
+	// learned is a lag that a refused read showed; it counts until learnedUntil.
+	learned      time.Duration
+	learnedUntil time.Time
+	evidenceAt   time.Time
 	// answeredAt is when the endpoint last answered a statement.
 	answeredAt time.Time
 }
@@ -101,9 +107,13 @@
 func (e *endpoint) candidate(now time.Time, primary bool, dataCentre string) place.Candidate {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	lag := e.lag
+	if now.Before(e.learnedUntil) {
+		lag = max(lag, e.learned)
+	}
 	return place.Candidate{
 		Endpoint: e.info.Name, Primary: primary, Near: string(e.info.DataCentre) == dataCentre,
-		Visible: e.visible, Lag: e.lag, BehindUntil: e.behindUntil,
+		Visible: e.visible, Lag: lag, BehindUntil: e.behindUntil,
 		Load: e.active + e.queue.Len(), Busy: e.busy, Room: e.limit, Slots: e.info.Slots,
 		Down:    e.closed || now.Before(e.doubtedUntil) || e.open == e.opening && now.Before(e.reopenAt),
 		Leaving: e.leaving.Load(),
@@ -144,10 +154,13 @@
 	defer e.mu.Unlock()
 	e.answeredAt = now
 	e.seeLocked(a.Point.Term, a.Point)
+	if a.Err == nil && !need.IsZero() && now.Sub(need) <= e.learned {
+		e.learnedUntil = time.Time{}
+	}
 	var fault *EndpointError
 	if errors.As(a.Err, &fault) && fault.Fault == FaultLagging && !need.IsZero() {
 		e.behindUntil = now.Add(behindPause)
-		e.lag = max(e.lag, now.Sub(need))
+		e.learned, e.learnedUntil = now.Sub(need), now.Add(learnedFor)
 	}
 	if now.Sub(e.evidenceAt) >= evidencePeriod {
 		e.evidenceAt = now
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -99,6 +99,10 @@
 	due time.Time
 	// turn is the last one taken for the group by anyone.
 	turn turn.Turn
+	// proving tells that a proof by the register is under way, and provedAt when
+	// the last one began.
+	proving  bool
+	provedAt time.Time
 	// taken is the turn that this instance acts in.
 	taken taken
 	// told are the term and the primary logged last.
@@ -211,6 +215,7 @@
 // tick lets time pass.
 func (g *groupControl) tick(now time.Time) {
 	g.rerank()
+	g.proveAlone(now)
 	g.perform(now, g.machine.Tick(now))
 }
 
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -165,7 +165,7 @@
 // readNewest runs a read that sees everything acknowledged before it came: on the
 // primary, with proof that it was not replaced by then.
 func (s *session) readNewest(st Statement, r Route, g *group, arrived time.Time, left time.Duration) (Answer, core.Endpoint, error) {
-	e, term, err := s.primary(g, arrived, r)
+	e, term, err := s.primary(g, arrived, r, (*groupState).isServing)
 	if err != nil {
 		return Answer{}, "", err
 	}
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -165,7 +165,11 @@
 		begin.After, begin.AfterAt = need.Point, need.At
 		return s.place(tx.group, need, tried, tx.route.Target)
 	}
-	e, term, err := s.primary(tx.group, arrived, tx.route)
+	usable := (*groupState).isOpen
+	if tx.readOnly {
+		usable = (*groupState).isServing
+	}
+	e, term, err := s.primary(tx.group, arrived, tx.route, usable)
 	tx.term = term
 	return e, err
 }
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -15,12 +15,12 @@
 // maxQueued bounds the writes that wait for a failover to end.
 const maxQueued = 64
 
-// primary returns the group's primary and its term. While there is none the
-// statement waits if the failover is likely over in time, and is refused at once
-// if not.
-func (s *session) primary(g *group, arrived time.Time, r Route) (*endpoint, uint64, error) {
+// primary returns the group's primary and its term. While there is none that is as
+// usable says the statement waits if the failover is likely over in time, and is
+// refused at once if not.
+func (s *session) primary(g *group, arrived time.Time, r Route, usable func(*groupState) bool) (*endpoint, uint64, error) {
 	state := g.state.Load()
-	if !state.isOpen() {
+	if !usable(state) {
 		s.proxy.counts.closed.Inc(1)
 		deadline := arrived.Add(r.Timeout)
 		now := s.proxy.now()
@@ -29,14 +29,17 @@
 		if !admission.Wait {
 			return nil, 0, noPrimary(state, g).WithRetry(admission.RetryAfter)
 		}
-		g.await(deadline.Sub(now), func(v *groupState) bool { state = v; return v.isOpen() })
-		if !state.isOpen() {
+		g.await(deadline.Sub(now), func(v *groupState) bool { state = v; return usable(v) })
+		if !usable(state) {
 			return nil, 0, noPrimary(state, g).WithRetry(retryAdvice)
 		}
 	}
 	return state.primary, state.term, nil
 }
 
+// isServing reports whether the group's primary answers.
+func (s *groupState) isServing() bool { return s.primary != nil && s.available.Serving }
+
 // isOpen reports whether the group takes writes.
 func (s *groupState) isOpen() bool { return s.primary != nil && s.available.IsOpen() }
 
@@ -56,7 +59,7 @@
 		if left <= 0 {
 			break
 		}
-		e, term, err := s.primary(g, arrived, r)
+		e, term, err := s.primary(g, arrived, r, (*groupState).isOpen)
 		if err != nil {
 			return s.fail(err)
 		}
