--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -283,7 +283,9 @@
 		next = m.now.Add(m.periods.Busy)
 	}
 	for _, e := range m.members {
-		if len(e.outstanding) == 0 && e.nextSample.Before(next) && !(m.sparse && e.nextSample.Before(m.now)) {
+		// One that is past due waits for its turn among the replicas.
+		waits := m.sparse && e.nextSample.Before(m.now)
+		if len(e.outstanding) == 0 && !waits && e.nextSample.Before(next) {
 			next = e.nextSample
 		}
 	}
--- a/core/group/schedule.go
+++ b/core/group/schedule.go
@@ -34,7 +34,8 @@
 	asked := m.quorum(now)
 	due := m.due(now)
 	for i, e := range m.members {
-		if len(e.outstanding) > 0 || !due[i] && !(asked[i] && m.lacks(e, now)) {
+		wanted := asked[i] && m.lacks(e, now)
+		if len(e.outstanding) > 0 || !due[i] && !wanted {
 			continue
 		}
 		period := m.samplePeriod()
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -60,8 +61,7 @@
 // Wait returns how long a new waiter is expected to wait for one of n
 // connections.
 func (q *Queue) Wait(w Waiter, n int) time.Duration {
-	ahead, _ := slices.BinarySearchFunc(q.waiters, w, before)
-	return time.Duration(ahead+1) * q.Hold() / time.Duration(max(1, n))
+	return time.Duration(q.place(w)+1) * q.Hold() / time.Duration(max(1, n))
 }
 
 // Add lets a waiter in unless it is expected to wait beyond its limit for one of
@@ -70,14 +70,16 @@
 	if len(q.waiters) > 0 && q.Wait(w, n) > w.Limit {
 		return false
 	}
-	i, found := slices.BinarySearchFunc(q.waiters, w, before)
-	for found && i < len(q.waiters) && before(q.waiters[i], w) == 0 {
-		i++
-	}
-	q.waiters = slices.Insert(q.waiters, i, w)
+	q.waiters = slices.Insert(q.waiters, q.place(w), w)
 	return true
 }
 
+// place returns how many waiters go before w; those that are its equals came
+// first.
+func (q *Queue) place(w Waiter) int {
+	return sort.Search(len(q.waiters), func(i int) bool { return before(q.waiters[i], w) > 0 })
+}
+
 // Next takes out the waiter whose turn it is.
 func (q *Queue) Next() (Waiter, bool) {
 	if len(q.waiters) == 0 {
--- /dev/null
+++ b/core/queue/queue_test.go
@@ -0,0 +1,73 @@
+package queue
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func waiter(id uint64, priority int, due time.Duration) Waiter {
+	return Waiter{ID: id, Priority: priority, Due: epoch.Add(due), Limit: time.Second}
+}
+
+func drain(q *Queue) []uint64 {
+	var ids []uint64
+	for {
+		w, ok := q.Next()
+		if !ok {
+			return ids
+		}
+		ids = append(ids, w.ID)
+	}
+}
+
+// TestOrder serves the more important first, then what is due first, then what
+// came first.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	var q Queue
+	is.True(q.Add(waiter(1, 2, 600*time.Millisecond), 1))
+	is.True(q.Add(waiter(2, 2, 400*time.Millisecond), 1))
+	is.True(q.Add(waiter(3, 2, 400*time.Millisecond), 1))
+	is.True(q.Add(waiter(4, 1, 900*time.Millisecond), 1))
+	is.Equal(drain(&q), []uint64{4, 2, 3, 1})
+}
+
+// TestRefusesAtOnce answers the pattern of both replicas of a group lagging: the
+// primary gets more than it can serve, and what cannot be in time is refused when
+// it comes instead of making all others late.
+func TestRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	const connections, limit = 2, 200 * time.Millisecond
+	var q Queue
+	for range 200 {
+		q.Held(50 * time.Millisecond)
+	}
+	admitted := 0
+	for id := uint64(1); id <= 100; id++ {
+		w := waiter(id, 2, time.Second)
+		w.Limit = limit
+		if q.Add(w, connections) {
+			admitted++
+		}
+	}
+	is.Equal(admitted, int(limit*connections/q.Hold()))
+	urgent := waiter(101, 1, time.Second)
+	urgent.Limit = limit
+	is.True(q.Add(urgent, connections)) // it waits for none of them
+	is.Equal(drain(&q)[0], uint64(101))
+}
+
+// TestRemove forgets a waiter that gave up.
+func TestRemove(t *testing.T) {
+	is := is.New(t)
+	var q Queue
+	q.Add(waiter(1, 1, 0), 1)
+	q.Add(waiter(2, 1, 0), 1)
+	is.True(q.Remove(1))
+	is.True(!q.Remove(1))
+	is.Equal(drain(&q), []uint64{2})
+}
--- a/proxy/control.go
+++ b/proxy/control.go
@@ -155,7 +155,7 @@
 	if slices.Equal(live, c.live) {
 		return
 	}
-	c.proxy.event(core.EventMembers).WithField("instances", live).Info("live instances changed")
+	c.proxy.event(core.EventMembers).WithField("instances", len(live)).Info("live instances changed")
 	c.live = live
 	c.arrange()
 }
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -49,6 +49,11 @@
 		_ = conn.Close()
 		return
 	}
+	p.converse(caller)
+}
+
+// converse answers one caller from the start of the session to its end.
+func (p *Proxy) converse(caller *Caller) {
 	defer caller.Close()
 	p.awaitConfig()
 	if _, err := p.route(caller.Database); err != nil {
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -121,8 +121,6 @@
 		return core.NewError(core.CodeUnknownPrepared, "%v", err)
 	case fault.IsNotRun():
 		return core.NewError(core.CodeOverloaded, "the primary refused: %v", err).WithRetry(retryAdvice)
-	case fault.Fault == FaultFailed:
-		return core.NewError(core.CodeReadFailed, "%v", err)
 	default:
 		return core.NewError(core.CodeOutcomeUnknown, "%v", err)
 	}
