--- /dev/null
+++ b/logs/writer_test.go
@@ -0,0 +1,48 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// slowOutput waits at its first line until it is let go.
+type slowOutput struct {
+	mu      sync.Mutex
+	text    bytes.Buffer
+	release chan struct{}
+	reached chan struct{}
+	once    sync.Once
+}
+
+// Write keeps what is written.
+func (o *slowOutput) Write(p []byte) (int, error) {
+	o.once.Do(func() {
+		close(o.reached)
+		<-o.release
+	})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+// TestNeverBlocks drops what an output that does not take lines has no room for, and
+// says how much.
+func TestNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	o := &slowOutput{release: make(chan struct{}), reached: make(chan struct{})}
+	w := NewWriter(o)
+	_, _ = w.Write([]byte("first\n"))
+	<-o.reached
+	for range queueLines + 7 {
+		_, err := w.Write([]byte("more\n"))
+		is.NoErr(err)
+	}
+	close(o.release)
+	w.Close()
+	is.True(strings.Contains(o.text.String(), `"dropped":7`))
+	is.Equal(strings.Count(o.text.String(), "more\n"), queueLines)
+}
