Let first attempts go before others in a full queue

While a group is overloaded, refused callers come back at once and most of what it served was late already. Another attempt within a second of a refusal now waits behind first ones of the same priority.

--- a/proxy/read.go
+++ b/proxy/read.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return Answer{}, "", err
 	}
-	l, err := e.acquire(claim{priority: r.Priority, due: arrived.Add(r.Target), limit: e.patience(arrived, left, r)})
+	l, err := e.acquire(claim{priority: s.urgency(r, arrived), due: arrived.Add(r.Target), limit: e.patience(arrived, left, r)})
 	if err != nil {
 		return Answer{}, e.info.Name, err
 	}
@@ -170,7 +170,7 @@
 		return Answer{}, "", err
 	}
 	g.want(failover.Want{AsOf: arrived})
-	l, err := e.acquire(claim{priority: r.Priority, due: arrived.Add(r.Target), limit: e.patience(arrived, left, r)})
+	l, err := e.acquire(claim{priority: s.urgency(r, arrived), due: arrived.Add(r.Target), limit: e.patience(arrived, left, r)})
 	if err != nil {
 		return Answer{}, "", err
 	}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -28,6 +28,8 @@
 	prepared map[string]Statement
 	// marks are the newest of the caller's own commits by group.
 	marks map[core.Group]ownMark
+	// refusedAt is when a statement of the session was refused last.
+	refusedAt time.Time
 	// tx is the open transaction, or nil.
 	tx *transaction
 	// open tells others that a transaction is open.
@@ -115,6 +117,9 @@
 		}
 		arrived := s.proxy.now()
 		a := s.answer(st, arrived)
+		if a.Err != nil {
+			s.refusedAt = s.proxy.now()
+		}
 		s.proxy.measured(s, st, a, arrived)
 		if s.caller.Answer(a) != nil {
 			return
@@ -155,6 +160,20 @@
 	}
 }
 
+// retryWithin is how soon after a refusal a statement is taken for another attempt.
+const retryWithin = time.Second
+
+// urgency orders the session's claims: by the route's priority, and among equals
+// what may still be in time before another attempt at what was refused, which is
+// late already. Under overload fewer callers would be served in time otherwise.
+func (s *session) urgency(r Route, arrived time.Time) int {
+	u := 2 * r.Priority
+	if !s.refusedAt.IsZero() && arrived.Sub(s.refusedAt) < retryWithin {
+		u++
+	}
+	return u
+}
+
 // execute runs a read or a write in or outside a transaction.
 func (s *session) execute(st Statement, access Kind, arrived time.Time) Answer {
 	if s.tx != nil {
