--- a/cli/platform.go
+++ b/cli/platform.go
@@ -15,7 +15,8 @@
 )
 
 type platformCmd struct {
-	Settings string `arg:"" optional:"" env:"ANVILTACK_NODE_FILE" help:"The platform's settings file." type:"path"`
+	MetricsPort uint16 `default:"9464" help:"Port of metrics and of the state dump; 0 for none."`
+	Settings    string `arg:"" optional:"" env:"ANVILTACK_NODE_FILE" help:"The platform's settings file." type:"path"`
 }
 
 // memoryShare is the part of the memory limit at which the garbage collector
@@ -28,6 +29,7 @@
 	if err != nil {
 		return &statusError{status: exitSettings, err: err}
 	}
+	checked.SetMetricsPort(c.MetricsPort)
 	if checked.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(checked.MemoryMB) * (1 << 20)))
 	}
--- a/proxy/control.go
+++ b/proxy/control.go
@@ -80,7 +80,8 @@
 func (c *control) noteReach(now time.Time) {
 	reached := len(c.groups) == 0
 	for _, g := range c.groups {
-		reached = reached || g.machine.Reaches() || now.Sub(g.machine.Confirmed().AsOf) < 2*alonePeriod
+		alone := g.machine.IsAlone() && now.Sub(g.machine.Confirmed().AsOf) < 2*alonePeriod
+		reached = reached || alone || g.machine.Reaches()
 	}
 	if reached {
 		c.unreachedSince = time.Time{}
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -247,8 +247,11 @@
 }
 
 // noteReport logs when an endpoint begins or ceases to leave reports out; only the
-// control goroutine calls it.
+// control goroutine calls it. One that refuses a connection lives.
 func (e *endpoint) noteReport(err error) {
+	if failureOf(err) == failover.Answered {
+		err = nil
+	}
 	if (err != nil) == e.unreported {
 		return
 	}
