--- /dev/null
+++ b/proxy/group_test.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"anviltack/core"
+)
+
+// TestWitnessWithoutPointIsNoSample does not take a primary's answer that carries no
+// position for news of its log: a deaf replica would pass for fresh.
+func TestWitnessWithoutPointIsNoSample(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(nil)
+	w.run()
+	old := core.Point{Term: 1, Position: 10}
+	w.set(w.find("r"), "deaf", "yes")
+	w.set(w.find("s"), "dark", "yes")
+	w.mu.Lock()
+	p := w.find("p")
+	p.last, p.applied = core.Point{Term: 1, Position: 20}, core.Point{Term: 1, Position: 20}
+	w.mu.Unlock()
+	committed := w.proxy.now()
+	g := (*w.proxy.groups.Load())["g"].control
+	checked := make(chan time.Time)
+	g.control.offer(func(now time.Time) {
+		e := g.endpoints["p"]
+		g.noteWitness(now, e, now, core.Point{})
+		r := core.Status{Role: core.RoleReplica, Term: 1, Received: 10, Last: old}
+		g.tracker.Observe("r", now, r)
+		at, _ := g.tracker.History().FreshAsOf(old)
+		checked <- at
+	})
+	is.True((<-checked).Before(committed))
+}
+
+// TestBornAgainIsAnotherEndpoint keeps no connection and no position of an endpoint
+// whose process started anew under its name.
+func TestBornAgainIsAnotherEndpoint(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(nil)
+	w.run()
+	find := func() *endpoint { return (*w.proxy.groups.Load())["g"].state.Load().endpoint("r") }
+	before := find()
+	w.mu.Lock()
+	w.find("r").info.Born = 7
+	offer := w.offer
+	w.mu.Unlock()
+	offer(w.list())
+	w.until(func() bool { return find() != nil && find() != before })
+	_, err := before.acquire(claim{limit: time.Second})
+	is.True(err != nil)
+	is.NoErr(w.open("a", "bounded").send(Statement{ID: "1", Kind: KindRead}).Err)
+}
+
+// TestLeavingPrimaryIsRelieved promotes another endpoint before a primary that leaves
+// is gone, and sends it no new reads.
+func TestLeavingPrimaryIsRelieved(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(nil)
+	w.run()
+	w.mu.Lock()
+	w.find("p").info.Leaving = true
+	offer := w.offer
+	w.mu.Unlock()
+	offer(w.list())
+	is.True(w.promotions() != "p token 1")
+	a := w.open("a", "newest").send(Statement{ID: "1", Kind: KindWrite})
+	is.NoErr(a.Err)
+	is.True(a.Proof != "signed by p")
+}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -77,7 +77,7 @@
 	if r, g, err := s.target(); err == nil {
 		v := g.state.Load()
 		l = l.WithField("group", r.Group).WithField("version", p.config.Load().Version).WithField("term", v.term)
-		l = l.WithField("confirmed_age_ms", p.now().Sub(v.confirmed.AsOf).Milliseconds())
+		l = l.WithField("confirmed_age_ms", p.ageOf(v.confirmed.AsOf))
 	}
 	if n := p.skipped.Swap(0); n > 0 {
 		l = l.WithField("lines_skipped", n)
@@ -85,6 +85,14 @@
 	l.Warn("statement not served")
 }
 
+// ageOf returns the age of a proof in milliseconds, -1 when there never was one.
+func (p *Proxy) ageOf(t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return p.now().Sub(t).Milliseconds()
+}
+
 // refused logs a session that was refused.
 func (p *Proxy) refused(c *Caller, id string, err error) {
 	p.counts.refusals.Inc(1)
@@ -112,12 +120,14 @@
 
 // groupDump is the state of one group in the dump.
 type groupDump struct {
-	Group     core.Group
-	Term      uint64
-	Primary   core.Endpoint
-	Confirmed time.Duration
-	Open      bool
-	Endpoints []endpointDump
+	Group   core.Group
+	Term    uint64
+	Primary core.Endpoint
+	// ConfirmedAgeMs is the age of the last proof that the primary was not
+	// replaced; -1 without one.
+	ConfirmedAgeMs int64
+	Open           bool
+	Endpoints      []endpointDump
 }
 
 // endpointDump is the state of one endpoint in the dump.
@@ -136,7 +146,7 @@
 	var groups []groupDump
 	for name, g := range *p.groups.Load() {
 		v := g.state.Load()
-		d := groupDump{Group: name, Term: v.term, Open: v.isOpen(), Confirmed: p.now().Sub(v.confirmed.AsOf)}
+		d := groupDump{Group: name, Term: v.term, Open: v.isOpen(), ConfirmedAgeMs: p.ageOf(v.confirmed.AsOf)}
 		if v.primary != nil {
 			d.Primary = v.primary.info.Name
 		}
