Give a write up once a failover takes twice what was expected

A write that was let in to wait for a failover waited to its own deadline when the failover did not end.

--- a/core/group/availability.go
+++ b/core/group/availability.go
@@ -48,13 +48,28 @@
 	if elapsed > hopelessGap {
 		return Admission{RetryAfter: hopelessRetry}
 	}
-	remaining := max(expectedGap-elapsed, minRemaining)
+	remaining := a.remaining(now)
 	if queued >= limit || now.Add(remaining).After(deadline) {
 		return Admission{RetryAfter: remaining}
 	}
 	return Admission{Wait: true}
 }
 
+// remaining returns how long a failover is expected to take from now on.
+func (a Availability) remaining(now time.Time) time.Duration {
+	if a.Since.IsZero() {
+		return expectedGap
+	}
+	return max(expectedGap-now.Sub(a.Since), minRemaining)
+}
+
+// Patience returns how long a write that was let in waits for the group to open: as
+// long again as was expected, after which the expectation was wrong.
+func (a Availability) Patience(now, deadline time.Time) time.Duration {
+	const overrun = 2
+	return min(deadline.Sub(now), overrun*a.remaining(now))
+}
+
 // Availability returns whether the group takes writes.
 func (m *Machine) Availability() Availability {
 	a := Availability{Serving: m.isServing(), Replicating: m.isReplicating()}
--- a/core/group/sparse_test.go
+++ b/core/group/sparse_test.go
@@ -212,3 +212,14 @@
 	is.Equal(questions(actions)["p"], ActionSample)
 	is.True(!m.Availability().Serving)
 }
+
+// TestPatience gives a write up once a failover takes twice what was expected, well
+// before the write's own deadline.
+func TestPatience(t *testing.T) {
+	is := is.New(t)
+	a := Availability{Serving: true, Since: epoch}
+	late := epoch.Add(time.Minute)
+	is.Equal(a.Patience(epoch, late), 2*expectedGap)
+	is.Equal(a.Patience(epoch.Add(expectedGap), late), 2*minRemaining)
+	is.Equal(a.Patience(epoch, epoch.Add(time.Millisecond)), time.Millisecond)
+}
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -29,7 +29,7 @@
 		if !admission.Wait {
 			return nil, 0, noPrimary(state, g).WithRetry(admission.RetryAfter)
 		}
-		g.await(deadline.Sub(now), func(v *groupState) bool { state = v; return usable(v) })
+		g.await(state.available.Patience(now, deadline), func(v *groupState) bool { state = v; return usable(v) })
 		if !usable(state) {
 			return nil, 0, noPrimary(state, g).WithRetry(retryAdvice)
 		}
