--- a/core/place/part.go
+++ b/core/place/part.go
@@ -12,8 +12,8 @@
 const queuedPerSlot = 2
 
 // Depth returns how many statements each of live instances sends to an endpoint at
-// once, at least two so that one slow statement does not hold up all others.
+// once, at least one.
 func Depth(slots, live int) int {
 	live = max(1, live)
-	return max(2, (queuedPerSlot*slots+live-1)/live)
+	return max(1, (queuedPerSlot*slots+live-1)/live)
 }
