--- a/proxy/group_test.go
+++ b/proxy/group_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -74,3 +75,60 @@
 	is.NoErr(a.Err)
 	is.True(a.Proof != "signed by p")
 }
+
+// promoteElsewhere makes an endpoint primary without this instance; the old primary
+// goes on until it is told.
+func (w *world) promoteElsewhere(name core.Endpoint) {
+	if err := w.promote(context.Background(), "g", name, 0); err != nil {
+		panic(err)
+	}
+}
+
+// TestDeposedPrimaryAcknowledgesNothing never passes on what a replaced primary says
+// of a write, a read of the newest data or a transaction, though it still takes them
+// all and the instance was not told.
+func TestDeposedPrimaryAcknowledgesNothing(t *testing.T) {
+	for name, say := range map[string]func(c *testCaller) Answer{
+		"write": func(c *testCaller) Answer { return c.send(Statement{ID: "1", Kind: KindWrite}) },
+		"read":  func(c *testCaller) Answer { return c.send(Statement{ID: "1", Kind: KindRead}) },
+		"transaction": func(c *testCaller) Answer {
+			c.send(Statement{ID: "1", Kind: KindBegin})
+			return c.send(Statement{ID: "2", Kind: KindRead})
+		},
+		"commit": func(c *testCaller) Answer {
+			c.send(Statement{ID: "1", Kind: KindBegin})
+			c.send(Statement{ID: "2", Kind: KindWrite})
+			return c.send(Statement{ID: "3", Kind: KindCommit})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := newWorld(nil)
+			w.run()
+			c := w.open("a", "newest")
+			w.promoteElsewhere("s")
+			is.True(say(c).Proof != "signed by p")
+		})
+	}
+}
+
+// TestLastMarkSurvivesPromotion reads a session's own commit after the primary that
+// took it was replaced.
+func TestLastMarkSurvivesPromotion(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(nil)
+	w.run()
+	c := w.open("a", "session")
+	is.NoErr(c.send(Statement{ID: "1", Kind: KindWrite}).Err)
+	w.promoteElsewhere("s")
+	w.set(w.find("p"), "dark", "yes")
+	for {
+		a := c.send(Statement{ID: "2", Kind: KindRead})
+		if a.Err == nil {
+			is.True(a.Proof == "signed by r" || a.Proof == "signed by s")
+			return
+		}
+	}
+}
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -136,10 +136,31 @@
 	w := newWorld(nil)
 	w.run()
 	e := (*w.proxy.groups.Load())["g"].state.Load().primary
-	e.setShare(time.Time{}, 8, 2)
 	for range 50 {
-		go func() { _, _ = e.acquire(claim{limit: time.Second}) }()
+		go func() { _, _ = e.acquire(claim{limit: time.Minute}) }()
 	}
-	w.until(func() bool { d := e.dump(); return d.Waiting > 40 })
-	is.True(e.dump().Open <= 4+reportConnections)
+	w.until(func() bool { return e.dump().Waiting > 40 })
+	d := e.dump()
+	is.True(d.Open <= d.Limit+reportConnections)
+}
+
+// TestRolledBackConnectionIsClean gives a connection on only after its transaction
+// was rolled back there.
+func TestRolledBackConnectionIsClean(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(nil)
+	w.run()
+	a, b := w.open("a", "newest"), w.open("b", "newest")
+	for range 10 {
+		a.send(Statement{ID: "1", Kind: KindBegin})
+		is.NoErr(a.send(Statement{ID: "2", Kind: KindWrite}).Err)
+		is.NoErr(a.send(Statement{ID: "3", Kind: KindRollback}).Err)
+		answer := b.send(Statement{ID: "4", Kind: KindWrite})
+		is.NoErr(answer.Err)
+		is.Equal(answer.State, StateIdle)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	is.Equal(w.fakes[0].last.Position, uint64(20))
 }
