--- a/proxy/seams.go
+++ b/proxy/seams.go
@@ -50,8 +50,6 @@
 	Witness func(limit time.Duration) (core.Point, error)
 	// Fence makes the endpoint refuse the primaries of terms below term.
 	Fence func(limit time.Duration, term uint64, role core.Role) (Report, error)
-	// Release lifts a fence from a replica.
-	Release func(limit time.Duration) (Report, error)
 	// IsOpen reports whether the endpoint has not closed the idle connection.
 	IsOpen func() bool
 	Close  func()
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -225,7 +225,7 @@
 	c := &fakeConn{world: w, fake: f, values: map[string]string{}, prepared: map[string]string{}}
 	return &Conn{
 		Exchange: c.exchange, Status: c.status, Witness: c.witness, Fence: c.fence,
-		Release: c.status, IsOpen: func() bool { return true }, Close: func() {},
+		IsOpen: func() bool { return true }, Close: func() {},
 	}, nil
 }
 
