--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 var epoch = time.Unix(1000, 0)
@@ -71,3 +72,32 @@
 	is.True(!q.Remove(1))
 	is.Equal(drain(&q), []uint64{2})
 }
+
+// TestQueueProperties serves whoever was let in exactly once and in order, however
+// they came.
+func TestQueueProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue
+		in := 0
+		for id := range uint64(rapid.IntRange(0, 50).Draw(t, "waiters")) {
+			w := waiter(id, rapid.IntRange(0, 3).Draw(t, "priority"), time.Duration(rapid.IntRange(0, 5).Draw(t, "due"))*time.Millisecond)
+			if q.Add(w, 2) {
+				in++
+			}
+		}
+		last, ok := q.Next()
+		for n := 0; n < in; n++ {
+			if !ok {
+				t.Fatalf("%d of %d came out", n, in)
+			}
+			next, more := q.Next()
+			if more && (before(last, next) > 0 || before(last, next) == 0 && last.ID > next.ID) {
+				t.Fatalf("%v before %v", last, next)
+			}
+			last, ok = next, more
+		}
+		if ok {
+			t.Fatal("more came out than went in")
+		}
+	})
+}
--- a/core/turn/turn_test.go
+++ b/core/turn/turn_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 var epoch = time.Unix(1000, 0)
@@ -59,3 +60,20 @@
 	is.True(u.Proves(7, at(Rest)))
 	is.True(!u.Proves(8, at(Rest))) // somebody took a turn
 }
+
+// TestNextTurnComesAfterTheLastAct lets an instance that heard of a turn at any time
+// after it was asked for begin the next one only when the first is over and what it
+// led to has taken effect.
+func TestNextTurnComesAfterTheLastAct(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		heard := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "heard"))
+		looked := heard + time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "looked"))
+		var u Turn
+		u.Seen(at(heard), 7, "b")
+		u.Seen(at(looked), 7, "b")
+		next := at(looked).Add(u.Wait(at(looked), "a"))
+		if next.Before(at(Rest)) || Remaining(next, at(0)) > 0 {
+			t.Fatalf("the next turn began at %v", next.Sub(at(0)))
+		}
+	})
+}
