--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -274,8 +274,8 @@
 	now := e.group.control.proxy.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for fresh && len(e.idle) > 0 {
-		e.dropLocked(e.popLocked())
+	if fresh {
+		e.dropIdleLocked()
 	}
 	if l := e.idleLocked(); l != nil {
 		return l, nil
@@ -294,9 +294,7 @@
 func (e *endpoint) close() {
 	e.mu.Lock()
 	e.closed = true
-	for len(e.idle) > 0 {
-		e.dropLocked(e.popLocked())
-	}
+	e.dropIdleLocked()
 	e.refuseLocked(core.NewError(core.CodeNoConnection, "%s is gone", e.info.Name))
 	e.mu.Unlock()
 }
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -248,6 +248,13 @@
 	return l
 }
 
+// dropIdleLocked closes all idle connections.
+func (e *endpoint) dropIdleLocked() {
+	for len(e.idle) > 0 {
+		e.dropLocked(e.popLocked())
+	}
+}
+
 // dropLocked closes a connection.
 func (e *endpoint) dropLocked(l *link) {
 	e.open--
