Forget what an endpoint reported before it was born again

Found when reading the change: machine and tracker know endpoints by name, so the reports of a first life still counted, and an endpoint that began empty beside a deaf replica made an old log pass for fresh. Its reports are forgotten now and make samples once it held what the group is known to hold. Samples survive a change of members.

The test fails without the rule.

--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -45,6 +45,9 @@
 	// unreported tells that the last report failed; it is the control
 	// goroutine's.
 	unreported bool
+	// grown tells that the endpoint has held what the group is known to hold; it
+	// is the control goroutine's.
+	grown bool
 
 	mu sync.Mutex
 	// limit is how many connections statements may use, and most how many
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -144,7 +144,7 @@
 		}
 		e := g.endpoints[l.Name]
 		if e != nil && (e.info.Address != l.Address || e.info.Born != l.Born) {
-			e.close()
+			g.forget(now, e)
 			e = nil
 		}
 		if e == nil {
@@ -158,11 +158,26 @@
 	}
 	for name, e := range g.endpoints {
 		if !kept[name] {
-			e.close()
-			delete(g.endpoints, name)
+			g.forget(now, e)
 			g.control.proxy.event(core.EventEndpoint).WithField("group", g.group.name).WithField("endpoint", name).Info("endpoint gone")
 		}
 	}
+	g.enlist(now)
+	if _, primary := g.machine.Primary(); claimed != "" && claimed != primary {
+		g.perform(now, g.machine.Hurry(now))
+	}
+}
+
+// forget drops an endpoint and everything that it reported: another process under
+// its name holds and knows nothing of it.
+func (g *groupControl) forget(now time.Time, e *endpoint) {
+	e.close()
+	delete(g.endpoints, e.info.Name)
+	g.enlist(now)
+}
+
+// enlist tells tracker and machine which endpoints there are.
+func (g *groupControl) enlist(now time.Time) {
 	g.track()
 	g.rerank()
 	members := make([]failover.Member, 0, len(g.endpoints))
@@ -170,13 +185,10 @@
 		members = append(members, failover.Member{Name: e.info.Name, DataCentre: e.info.DataCentre, Leaving: e.leaving.Load(), Near: string(e.info.DataCentre) == g.control.proxy.settings.DataCentre})
 	}
 	g.perform(now, g.machine.Configure(now, members))
-	if _, primary := g.machine.Primary(); claimed != "" && claimed != primary {
-		g.perform(now, g.machine.Hurry(now))
-	}
 }
 
 // track makes a new tracker when the members changed. The samples of the old one
-// stay true, and those of the new one begin with the next reports.
+// stay true.
 func (g *groupControl) track() {
 	names := make([]core.Endpoint, 0, len(g.endpoints))
 	for name := range g.endpoints {
@@ -184,8 +196,10 @@
 	}
 	slices.Sort(names)
 	if !slices.Equal(names, g.tracked) {
+		samples := g.tracker.History()
 		g.tracked = names
 		g.tracker = mark.NewTracker(names...)
+		*g.tracker.History() = *samples
 	}
 }
 
@@ -289,15 +303,25 @@
 			return
 		}
 		e.reported(now, r)
-		// Positions are compared as endpoints do it: by the term of the entry.
-		held := r.Status
-		held.Term = r.Last.Term
-		g.tracker.Observe(e.info.Name, sentAt, held)
+		if g.isGrown(e, r) {
+			// Positions are compared as endpoints do it: by the term of the entry.
+			held := r.Status
+			held.Term = r.Last.Term
+			g.tracker.Observe(e.info.Name, sentAt, held)
+		}
 		g.perform(now, g.machine.Sampled(now, e.info.Name, sentAt, r.Status))
 		g.unseat(e, r)
 	})
 }
 
+// isGrown reports whether an endpoint has held what the group is known to hold since
+// it was listed. One that began empty would make an old log pass for a fresh one.
+func (g *groupControl) isGrown(e *endpoint, r Report) bool {
+	newest, ok := g.tracker.History().Newest()
+	e.grown = e.grown || !ok || !r.Last.Less(newest.Point)
+	return e.grown
+}
+
 // witness asks the primary whether it still takes itself for one.
 func (g *groupControl) witness(e *endpoint, sentAt time.Time, fresh bool) {
 	var point core.Point
--- a/proxy/group_test.go
+++ b/proxy/group_test.go
@@ -58,6 +58,29 @@
 	is.NoErr(w.open("a", "bounded").send(Statement{ID: "1", Kind: KindRead}).Err)
 }
 
+// TestEmptyEndpointIsNoSample does not take the reports of an endpoint that started
+// anew without its log for proof that an old log is fresh.
+func TestEmptyEndpointIsNoSample(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(nil)
+	w.run()
+	w.set(w.find("s"), "deaf", "yes")
+	is.NoErr(w.open("a", "newest").send(Statement{ID: "1", Kind: KindWrite}).Err) // held by p and r
+	w.mu.Lock()
+	w.noStore = true // so that nobody promotes
+	w.find("p").dark = true
+	r := w.find("r")
+	r.info.Born, r.last, r.applied, r.deaf = 7, core.Point{}, core.Point{}, true
+	offer := w.offer
+	w.mu.Unlock()
+	offer(w.list())
+	time.Sleep(1700 * time.Millisecond) // longer than the bound
+	for range 5 {
+		is.True(w.open("b", "bounded").send(Statement{ID: "2", Kind: KindRead}).Err != nil)
+	}
+}
+
 // TestLeavingPrimaryIsRelieved promotes another endpoint before a primary that leaves
 // is gone, and sends it no new reads.
 func TestLeavingPrimaryIsRelieved(t *testing.T) {
