Work out an instance's rank when the list changes, not at each tick

Found when reading the change: every tick of every group hashed the names of all live instances, ten times a second, though the rank only follows the list; whether the store answers is still looked at each time.

--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -96,7 +96,7 @@
 }
 
 // setShare takes how many connections all instances together may open.
-func (e *endpoint) setShare(_ time.Time, most, live int) {
+func (e *endpoint) setShare(most, live int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.limit = place.Part(most, live)
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -99,6 +99,8 @@
 	due time.Time
 	// turn is the last one taken for the group by anyone.
 	turn turn.Turn
+	// rank is this instance's place among the listed ones, 0 acting first.
+	rank int
 	// proving tells that a proof by the register is under way, and provedAt when
 	// the last one began.
 	proving  bool
@@ -154,7 +156,7 @@
 		}
 		kept[l.Name] = true
 		e.leaving.Store(l.Leaving)
-		e.setShare(now, s.Connections, len(g.control.live))
+		e.setShare(s.Connections, len(g.control.live))
 	}
 	for name, e := range g.endpoints {
 		if !kept[name] {
@@ -179,6 +181,7 @@
 // enlist tells tracker and machine which endpoints there are.
 func (g *groupControl) enlist(now time.Time) {
 	g.track()
+	g.rank = g.place()
 	g.rerank()
 	members := make([]failover.Member, 0, len(g.endpoints))
 	for _, e := range g.endpoints {
@@ -203,8 +206,8 @@
 	}
 }
 
-// rank is this instance's place among those that may act for the group.
-func (g *groupControl) rank() int {
+// place works out this instance's rank from the instances that are listed now.
+func (g *groupControl) place() int {
 	hash := func(i core.Instance) uint64 { return xxhash.Sum64String(string(i) + " " + string(g.group.name)) }
 	own := hash(core.Instance(g.control.proxy.settings.Instance))
 	rank := 0
@@ -219,7 +222,7 @@
 // rerank tells the machine when it may act. An instance that the register does not
 // answer comes after all others.
 func (g *groupControl) rerank() {
-	rank := g.rank()
+	rank := g.rank
 	if !g.control.proxy.seams.Register.Usable() {
 		rank += len(g.control.live)
 	}
