--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -49,6 +49,12 @@
 	givenTerms bool
 	// sparse tells that samples are dear.
 	sparse bool
+	// forgottenFor is how long a promotion may take effect after fences that a
+	// start forgot; zero where fences outlast starts.
+	forgottenFor time.Duration
+	// settledAt is the newest time before which no fence was given whose promotion
+	// is still to come.
+	settledAt time.Time
 	// tried is the highest term that this instance fenced with.
 	tried uint64
 	// absentSince is when the group was first seen without a primary; zero
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -25,6 +25,9 @@
 	status core.Status
 	sentAt time.Time
 	known  bool
+	// runsSince is a time since which the endpoint has run without a break, as of
+	// status; zero while none is known.
+	runsSince time.Time
 	// answeredAt is when the endpoint last answered anything.
 	answeredAt time.Time
 	// refusedFirst and refusedLast bound the refusals since the last answer.
@@ -106,7 +109,7 @@
 func (m *Machine) follows(e *member) bool {
 	s := e.status
 	begun := s.Last.Term == m.term || s.Last == core.Point{}
-	return e.known && s.Term == m.term && s.Fence <= m.term && (begun || m.givenTerms)
+	return e.known && s.Term == m.term && s.Fence <= m.term && (begun || m.givenTerms) && m.remembers(e)
 }
 
 // held returns the position up to which the endpoint holds the log of term. A log
--- a/core/group/option.go
+++ b/core/group/option.go
@@ -136,3 +136,11 @@
 func WithGivenTerms() Option {
 	return func(m *Machine) { m.givenTerms = true }
 }
+
+// WithForgottenFences tells that an endpoint which starts again holds no fence, and
+// that a promotion takes effect within rest of its fences. Endpoints then count for
+// confirmations only as far as Runs and Settled show that no promotion still comes
+// of a fence that was forgotten.
+func WithForgottenFences(rest time.Duration) Option {
+	return func(m *Machine) { m.forgottenFor = rest }
+}
--- a/core/group/turns_test.go
+++ b/core/group/turns_test.go
@@ -23,6 +23,8 @@
 	held    uint64
 	primary bool
 	dead    bool
+	// startedAt is when the endpoint's process started last.
+	startedAt time.Time
 	// cut names the endpoints and the instances that it cannot reach.
 	cut map[string]bool
 }
@@ -54,6 +56,9 @@
 	held    []func()
 	waiting []turnStatement
 	fences  []Action
+	// connected is when the connection to each endpoint was opened.
+	connected map[core.Endpoint]time.Time
+	reading   bool
 }
 
 // turnStatement is a write or a newest read whose answer waits for its proof.
@@ -82,7 +87,7 @@
 	servants  []*servant
 	takers    []*taker
 	revision  uint64
-	owner     string
+	value     string
 	lastToken uint64
 	effects   []Failover
 	acked     []turnAck
@@ -107,9 +112,9 @@
 	p.Idle, p.Pause, p.FenceTimeout = 100*time.Millisecond, time.Hour, turn.Window
 	for i := range instances {
 		name := core.Instance(fmt.Sprint(i))
-		m := New("g", name, WithPeriods(p), WithGivenTerms(), WithSparseSamples(), WithRandom(rand.New(rand.NewPCG(seed, uint64(i)+2))))
+		m := New("g", name, WithPeriods(p), WithGivenTerms(), WithSparseSamples(), WithForgottenFences(turn.Rest), WithRandom(rand.New(rand.NewPCG(seed, uint64(i)+2))))
 		m.SetRank(i, 1)
-		t := &taker{Machine: m, name: name}
+		t := &taker{Machine: m, name: name, connected: map[core.Endpoint]time.Time{}}
 		t.turn.Seen(epoch, 0, "")
 		w.takers = append(w.takers, t)
 		w.step(t, func() []Action { return m.Configure(w.now, members) })
@@ -144,9 +149,31 @@
 
 func (w *turns) tick(t *taker) {
 	w.step(t, func() []Action { return t.Tick(w.now) })
+	if t.IsUnsettled() && !t.reading {
+		w.settle(t)
+	}
 	w.after(20*time.Millisecond, func() { w.tick(t) })
 }
 
+// settle reads the turn for endpoints that may have forgotten a fence.
+func (w *turns) settle(t *taker) {
+	t.reading = true
+	asOf := w.now
+	w.after(w.delay(), func() {
+		revision, value := w.revision, w.value
+		w.after(w.delay(), func() {
+			w.step(t, func() []Action {
+				t.reading = false
+				t.turn.Seen(w.now, revision, value)
+				if t.turn.IsSettled(revision, asOf) {
+					return t.Settled(w.now, asOf)
+				}
+				return nil
+			})
+		})
+	})
+}
+
 // replicate sends every primary's log to the endpoints that take it.
 func (w *turns) replicate() {
 	for _, p := range w.servants {
@@ -194,13 +221,20 @@
 			w.after(200*time.Millisecond, func() { w.step(t, failed) })
 			return
 		}
+		if !t.connected[name].After(s.startedAt) {
+			t.connected[name] = w.now
+		}
+		opened := t.connected[name]
 		answer := request(s)
 		w.after(w.delay(), func() {
 			if s.cut[string(t.name)] {
 				w.after(200*time.Millisecond, func() { w.step(t, failed) })
 				return
 			}
-			w.step(t, answer)
+			w.step(t, func() []Action {
+				t.Runs(name, opened)
+				return answer()
+			})
 		})
 	})
 }
@@ -246,10 +280,10 @@
 		return
 	}
 	w.after(w.delay(), func() {
-		revision, owner := w.revision, w.owner
+		revision, value := w.revision, w.value
 		w.after(w.delay(), func() {
 			w.step(t, func() []Action {
-				t.turn.Seen(w.now, revision, owner)
+				t.turn.Seen(w.now, revision, value)
 				if d := t.turn.Wait(w.now, string(t.name)); d > 0 {
 					return t.Hold(w.now, d)
 				}
@@ -270,7 +304,7 @@
 		won := w.revision == revision
 		if won {
 			w.revision++
-			w.owner = string(t.name)
+			w.value = string(t.name)
 		}
 		token := w.revision
 		w.after(w.delay(), func() {
@@ -335,12 +369,25 @@
 				}
 			}
 			status := s.status()
-			w.after(w.delay(), func() { done(true, status) })
+			w.after(w.delay(), func() {
+				w.markOver(token)
+				done(true, status)
+			})
 		})
 	})
 	w.after(4*time.Second, func() { done(false, core.Status{}) })
 }
 
+// markOver tells that a turn's promotion took effect; the store may miss it.
+func (w *turns) markOver(token uint64) {
+	w.after(w.delay(), func() {
+		if w.revision == token && w.random.IntN(3) > 0 {
+			w.revision++
+			w.value = turn.Over(w.value)
+		}
+	})
+}
+
 // missing returns a write that was acknowledged before a time and is not in a log.
 func (w *turns) missing(log []entry, before time.Time) int {
 	for _, a := range w.acked {
@@ -421,7 +468,7 @@
 
 // restart starts an endpoint again, as a replica if another one was promoted.
 func (w *turns) restart(s *servant) {
-	s.dead = false
+	s.dead, s.startedAt = false, w.now
 	if w.forgets {
 		s.held = 0
 	}
--- a/core/turn/turn.go
+++ b/core/turn/turn.go
@@ -5,10 +5,14 @@
 // of that change is its token. Whoever took a turn acts within Window of asking
 // for the change, and nobody takes the next one before the value has stood
 // unchanged for Rest. So acts come in the order of their tokens, whatever answers
-// are lost or late, and each has taken effect before the next turn begins.
+// are lost or late, and each has taken effect and become known before the next turn
+// begins.
 package turn
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 const (
 	// Window is how long a turn lasts from the moment it was asked for. It covers
@@ -19,22 +23,32 @@
 	Rest = Window + time.Second
 )
 
+// overMark ends the value of a turn whose act took effect.
+const overMark = " over"
+
+// Over returns the value that replaces value once the turn's act took effect.
+func Over(value string) string { return value + overMark }
+
 // Turn is what an instance knows of the last turn of one group.
 type Turn struct {
 	revision uint64
 	owner    string
+	// over tells that nothing of the turn is still to take effect.
+	over bool
 	// seenAt is when the revision was first seen.
 	seenAt time.Time
 	known  bool
 }
 
-// Seen takes a read of the value that was answered at now. Revision zero means
-// that nobody ever had a turn.
-func (t *Turn) Seen(now time.Time, revision uint64, owner string) {
+// Seen takes a read that was answered at now. The value begins with the owner's
+// name; revision zero means that nobody ever had a turn.
+func (t *Turn) Seen(now time.Time, revision uint64, value string) {
 	if t.known && revision <= t.revision {
 		return
 	}
-	t.revision, t.owner, t.seenAt, t.known = revision, owner, now, true
+	t.owner, _, _ = strings.Cut(value, " ")
+	t.over = strings.HasSuffix(value, overMark)
+	t.revision, t.seenAt, t.known = revision, now, true
 }
 
 // Wait returns how long self must wait before it asks for the next turn. Its own
@@ -49,6 +63,15 @@
 	return max(0, Rest-now.Sub(t.seenAt))
 }
 
+// IsSettled reports whether a read that was asked for at asOf and found revision
+// shows that nothing of any turn taken by then is still to take effect.
+func (t *Turn) IsSettled(revision uint64, asOf time.Time) bool {
+	if !t.known || revision != t.revision {
+		return false
+	}
+	return revision == 0 || t.over || !asOf.Before(t.seenAt.Add(Rest))
+}
+
 // Revision returns the revision that the next turn replaces.
 func (t *Turn) Revision() uint64 { return t.revision }
 
--- a/core/turn/turn_test.go
+++ b/core/turn/turn_test.go
@@ -77,3 +77,22 @@
 		}
 	})
 }
+
+// TestSettled takes nothing to be still to come only where nobody ever had a turn,
+// the last one is marked as over, or a rest has passed since it was seen.
+func TestSettled(t *testing.T) {
+	is := is.New(t)
+	var u Turn
+	is.True(!u.IsSettled(0, at(time.Hour))) // nothing was read yet
+	u.Seen(at(0), 0, "")
+	is.True(u.IsSettled(0, at(0)))
+	u.Seen(at(0), 7, "b 1")
+	is.True(!u.IsSettled(7, at(Rest-1)))
+	is.True(u.IsSettled(7, at(Rest)))
+	is.True(!u.IsSettled(8, at(Rest))) // a turn that was not seen before
+	u.Seen(at(Rest), 8, Over("b 1"))
+	is.True(u.IsSettled(8, at(Rest)))
+	is.Equal(u.Wait(at(Rest), "a"), Rest) // its effect has to become known first
+	u.Seen(at(Rest), 9, "a 2")
+	is.True(!u.IsSettled(9, at(Rest)))
+}
--- a/proxy/alone.go
+++ b/proxy/alone.go
@@ -39,8 +39,9 @@
 	defer cancel()
 	item, err := g.control.proxy.seams.Register.Get(ctx, string(g.group.name))
 	var point core.Point
+	var since time.Time
 	if err == nil {
-		_, err = e.ask(false, func(c *Conn) (Report, error) {
+		_, since, err = e.ask(false, func(c *Conn) (Report, error) {
 			var err error
 			point, err = c.Witness(reportLimit)
 			return Report{}, err
@@ -51,10 +52,11 @@
 		if err != nil {
 			return
 		}
-		g.turn.Seen(now, item.Revision, ownerOf(item.Value))
+		g.turn.Seen(now, item.Revision, item.Value)
 		if !g.turn.Proves(item.Revision, g.machine.Confirmed().AsOf) {
 			return
 		}
+		g.machine.Runs(e.info.Name, since)
 		g.tracker.History().Add(mark.Sample{At: asOf, Point: point})
 		g.perform(now, g.machine.Unreplaced(now, term, asOf))
 	})
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -81,6 +81,10 @@
 	learned      time.Duration
 	learnedUntil time.Time
 	evidenceAt   time.Time
+	// runsSince and ranAt bound a time through which one process of the endpoint
+	// is known to have run.
+	runsSince time.Time
+	ranAt     time.Time
 	// answeredAt is when the endpoint last answered a statement.
 	answeredAt time.Time
 }
@@ -211,42 +215,55 @@
 }
 
 // report asks the endpoint for its report.
-func (e *endpoint) report(fresh bool) (Report, error) {
+func (e *endpoint) report(fresh bool) (Report, time.Time, error) {
 	return e.ask(fresh, func(c *Conn) (Report, error) { return c.Status(reportLimit) })
 }
 
 // fence fences the endpoint.
 func (e *endpoint) fence(term uint64, role core.Role) (Report, error) {
-	return e.ask(false, func(c *Conn) (Report, error) { return c.Fence(reportLimit, term, role) })
+	r, _, err := e.ask(false, func(c *Conn) (Report, error) { return c.Fence(reportLimit, term, role) })
+	return r, err
 }
 
 // ask uses an idle connection, or a new one, for a question to the endpoint. A
-// part of the instance's connections is left free for these.
-func (e *endpoint) ask(fresh bool, use func(*Conn) (Report, error)) (Report, error) {
+// part of the instance's connections is left free for these. With the answer comes
+// since when the endpoint has run.
+func (e *endpoint) ask(fresh bool, use func(*Conn) (Report, error)) (Report, time.Time, error) {
 	p := e.group.control.proxy
 	l, err := e.spare(fresh)
-	if err != nil {
-		return Report{}, err
+	if err == nil && l == nil {
+		l, err = e.dial()
 	}
-	if l == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
-		defer cancel()
-		c, err := p.seams.Endpoints.Dial(ctx, e.info)
-		p.counts.connections.Inc(1)
-		if err != nil {
-			e.mu.Lock()
-			e.open--
-			e.noteFullLocked(p.now(), err)
-			e.mu.Unlock()
-			return Report{}, err
-		}
-		l = newLink(e, c)
+	if err != nil {
+		return Report{}, time.Time{}, err
 	}
+	sentAt := p.now()
 	r, err := use(l.conn)
 	p.counts.reports.Inc(1)
+	var since time.Time
+	if err == nil {
+		since = l.lived(sentAt)
+	}
 	var fault *EndpointError
 	l.release(err == nil || errors.As(err, &fault))
-	return r, err
+	return r, since, err
+}
+
+// dial opens a connection for a question.
+func (e *endpoint) dial() (*link, error) {
+	p := e.group.control.proxy
+	ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
+	defer cancel()
+	c, err := p.seams.Endpoints.Dial(ctx, e.info)
+	p.counts.connections.Inc(1)
+	if err == nil {
+		return newLink(e, c, p.now()), nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.open--
+	e.noteFullLocked(p.now(), err)
+	return nil, err
 }
 
 // noteReport logs when an endpoint begins or ceases to leave reports out; only the
@@ -280,7 +297,7 @@
 	if fresh {
 		e.dropIdleLocked()
 	}
-	if l := e.idleLocked(); l != nil {
+	if l := e.steadyLocked(); l != nil {
 		return l, nil
 	}
 	if now.Before(e.fullUntil) {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -52,6 +52,7 @@
 		}
 	}
 	a := answers[len(answers)-1]
+	a.runsSince = l.lived(sentAt)
 	l.endpoint.answered(now, st.AfterAt, a)
 	return a, nil
 }
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -101,6 +101,9 @@
 	turn turn.Turn
 	// rank is this instance's place among the listed ones, 0 acting first.
 	rank int
+	// settling tells that the turn is being read, and settledAt when that began last.
+	settling  bool
+	settledAt time.Time
 	// proving tells that a proof by the register is under way, and provedAt when
 	// the last one began.
 	proving  bool
@@ -123,13 +126,13 @@
 	g := &groupControl{
 		control:   c,
 		group:     &group{name: name, changed: make(chan struct{})},
-		machine:   failover.New(name, core.Instance(c.proxy.settings.Instance), failover.WithPeriods(p), failover.WithGivenTerms(), failover.WithSparseSamples()),
+		machine:   failover.New(name, core.Instance(c.proxy.settings.Instance), failover.WithPeriods(p), failover.WithGivenTerms(), failover.WithSparseSamples(), failover.WithForgottenFences(turn.Rest)),
 		tracker:   mark.NewTracker(),
 		endpoints: make(map[core.Endpoint]*endpoint),
 	}
 	g.group.control = g
 	g.group.state.Store(&groupState{history: &mark.History{}})
-	go c.proxy.learnTurn(g)
+	g.settle(c.proxy.now())
 	return g
 }
 
@@ -233,6 +236,9 @@
 func (g *groupControl) tick(now time.Time) {
 	g.rerank()
 	g.proveAlone(now)
+	if g.machine.IsUnsettled() && now.Sub(g.settledAt) >= settlePause {
+		g.settle(now)
+	}
 	g.perform(now, g.machine.Tick(now))
 }
 
@@ -248,7 +254,7 @@
 		case failover.ActionSample:
 			go g.sample(e, now, a.Fresh)
 		case failover.ActionWitness:
-			go g.witness(e, now, a.Fresh)
+			go g.askWitness(e, now, a.Fresh)
 		case failover.ActionFence:
 			if len(fences) == 0 {
 				defer func() { g.beginTurn(now, a.Term, a.Reason, fences) }()
@@ -286,7 +292,7 @@
 	g.group.publish(s)
 	if term != g.told.term || primary != g.told.primary {
 		if term != g.told.term {
-			go g.control.proxy.learnTurn(g)
+			g.settle(g.control.proxy.now())
 		}
 		g.told.term, g.told.primary = term, primary
 		g.control.proxy.event(core.EventPrimary).WithField("group", g.group.name).WithField("term", term).WithField("primary", primary).Info("primary known")
@@ -295,7 +301,7 @@
 
 // sample asks an endpoint for its report.
 func (g *groupControl) sample(e *endpoint, sentAt time.Time, fresh bool) {
-	r, err := e.report(fresh)
+	r, since, err := e.report(fresh)
 	g.control.post(context.Background(), func(now time.Time) {
 		if g.endpoints[e.info.Name] != e {
 			return
@@ -312,6 +318,7 @@
 			held.Term = r.Last.Term
 			g.tracker.Observe(e.info.Name, sentAt, held)
 		}
+		g.machine.Runs(e.info.Name, since)
 		g.perform(now, g.machine.Sampled(now, e.info.Name, sentAt, r.Status))
 		g.unseat(e, r)
 	})
@@ -325,10 +332,10 @@
 	return e.grown
 }
 
-// witness asks the primary whether it still takes itself for one.
-func (g *groupControl) witness(e *endpoint, sentAt time.Time, fresh bool) {
+// askWitness asks the primary whether it still takes itself for one.
+func (g *groupControl) askWitness(e *endpoint, sentAt time.Time, fresh bool) {
 	var point core.Point
-	_, err := e.ask(fresh, func(c *Conn) (Report, error) {
+	_, since, err := e.ask(fresh, func(c *Conn) (Report, error) {
 		var err error
 		point, err = c.Witness(reportLimit)
 		return Report{}, err
@@ -337,7 +344,7 @@
 		switch {
 		case g.endpoints[e.info.Name] != e:
 		case err == nil:
-			g.noteWitness(now, e, sentAt, point)
+			g.noteWitness(now, e, witness{sentAt: sentAt, runsSince: since, point: point})
 		case faultOf(err) == FaultReadOnly:
 			g.perform(now, g.machine.Unwitnessed(now, e.info.Name, sentAt))
 		default:
@@ -347,14 +354,23 @@
 	})
 }
 
-// noteWitness takes an answer that only a primary gives. It is a sample of the
-// primary's log only if it came with the end of the log.
-func (g *groupControl) noteWitness(now time.Time, e *endpoint, sentAt time.Time, p core.Point) {
+// witness is an answer that only a primary gives.
+type witness struct {
+	sentAt time.Time
+	// runsSince is since when the endpoint's process has run.
+	runsSince time.Time
+	// point is the end of the primary's log; zero when the answer did not tell it.
+	point core.Point
+}
+
+// noteWitness takes an answer that only a primary gives.
+func (g *groupControl) noteWitness(now time.Time, e *endpoint, w witness) {
 	e.noteReport(nil)
-	if p != (core.Point{}) {
-		g.tracker.Observe(e.info.Name, sentAt, core.Status{Role: core.RolePrimary, Term: p.Term, Received: p.Position, Last: p})
+	if p := w.point; p != (core.Point{}) {
+		g.tracker.Observe(e.info.Name, w.sentAt, core.Status{Role: core.RolePrimary, Term: p.Term, Received: p.Position, Last: p})
 	}
-	g.perform(now, g.machine.Witnessed(now, e.info.Name, sentAt, p))
+	g.machine.Runs(e.info.Name, w.runsSince)
+	g.perform(now, g.machine.Witnessed(now, e.info.Name, w.sentAt, w.point))
 }
 
 // unseat tells a primary that was replaced.
@@ -369,10 +385,10 @@
 }
 
 // witnessed takes an answer that only a primary gives.
-func (g *groupControl) witnessed(e *endpoint, sentAt time.Time, p core.Point) {
+func (g *groupControl) witnessed(e *endpoint, w witness) {
 	g.control.offer(func(now time.Time) {
 		if g.endpoints[e.info.Name] == e {
-			g.noteWitness(now, e, sentAt, p)
+			g.noteWitness(now, e, w)
 		}
 	})
 }
--- a/proxy/group_test.go
+++ b/proxy/group_test.go
@@ -29,7 +29,7 @@
 	checked := make(chan time.Time)
 	g.control.offer(func(now time.Time) {
 		e := g.endpoints["p"]
-		g.noteWitness(now, e, now, core.Point{})
+		g.noteWitness(now, e, witness{sentAt: now, runsSince: now})
 		r := core.Status{Role: core.RoleReplica, Term: 1, Received: 10, Last: old}
 		g.tracker.Observe("r", now, r)
 		at, _ := g.tracker.History().FreshAsOf(old)
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"anviltack/core"
@@ -18,13 +19,46 @@
 	prepared map[string]bool
 	// usedAt is when the connection was given back last.
 	usedAt time.Time
+	// runsSince is a time since which the endpoint's process has run without a
+	// break, if it still answers here.
+	runsSince time.Time
 	// grantedAt is when the statement that runs on the connection was let through;
 	// zero while none runs.
 	grantedAt time.Time
 }
 
-func newLink(e *endpoint, c *Conn) *link {
-	return &link{endpoint: e, conn: c, values: map[string]string{}, prepared: map[string]bool{}}
+func newLink(e *endpoint, c *Conn, openedAt time.Time) *link {
+	return &link{endpoint: e, conn: c, runsSince: openedAt, values: map[string]string{}, prepared: map[string]bool{}}
+}
+
+// lived takes an answer on the connection to something sent at sentAt and returns
+// since when the endpoint's process has run: it is the one that other connections
+// showed to run when this one was opened.
+func (l *link) lived(sentAt time.Time) time.Time {
+	e := l.endpoint
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.runsSince.Before(l.runsSince) && !e.ranAt.Before(l.runsSince) {
+		l.runsSince = e.runsSince
+	}
+	switch {
+	case l.runsSince.Equal(e.runsSince):
+		e.ranAt = latest(e.ranAt, sentAt)
+	case l.runsSince.Before(e.runsSince), sentAt.Sub(e.ranAt) > steadyFor:
+		e.runsSince, e.ranAt = l.runsSince, sentAt
+	}
+	return l.runsSince
+}
+
+// steadyFor is how long the connections that show an endpoint to have run the longest
+// may go without an answer before younger ones count: a few reports.
+const steadyFor = 3 * time.Second
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // reportConnections is how many connections reports may open beyond the
@@ -144,7 +178,7 @@
 	defer e.mu.Unlock()
 	e.opening--
 	if err == nil {
-		e.keepLocked(now, newLink(e, c))
+		e.keepLocked(now, newLink(e, c, now))
 		return
 	}
 	e.open--
@@ -232,15 +266,37 @@
 const idleFor = 1500 * time.Millisecond
 
 // trimLocked closes connections that have not been used for long. The longest
-// unused comes first in idle.
+// unused comes first in idle. In place of the only one that shows how long the
+// endpoint has run the next is closed.
 func (e *endpoint) trimLocked(now time.Time) {
 	for len(e.idle) > 1 && now.Sub(e.idle[0].usedAt) >= idleFor {
 		l := e.idle[0]
 		e.idle = e.idle[1:]
+		if e.showsLifeLocked(l) && !slices.ContainsFunc(e.idle, e.showsLifeLocked) {
+			l.usedAt = now
+			e.idle = append(e.idle, l)
+			l, e.idle = e.idle[0], e.idle[1:]
+		}
 		e.dropLocked(l)
 	}
 }
 
+// showsLifeLocked reports whether the endpoint is known to have run the longest by
+// answers on this connection.
+func (e *endpoint) showsLifeLocked(l *link) bool { return l.runsSince.Equal(e.runsSince) }
+
+// steadyLocked takes the idle connection used last of those that show how long the
+// endpoint has run, or of all where none does.
+func (e *endpoint) steadyLocked() *link {
+	for i, l := range slices.Backward(e.idle) {
+		if e.showsLifeLocked(l) && l.conn.IsOpen() {
+			e.idle = slices.Delete(e.idle, i, i+1)
+			return l
+		}
+	}
+	return e.idleLocked()
+}
+
 // popLocked takes the idle connection that was used last.
 func (e *endpoint) popLocked() *link {
 	l := e.idle[len(e.idle)-1]
--- a/proxy/promote.go
+++ b/proxy/promote.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
-	"strings"
 	"time"
 
 	"anviltack/core"
@@ -20,16 +19,34 @@
 	errNotPrimary = errors.New("proxy: the endpoint did not become primary in time")
 )
 
-// learnTurn reads the last turn of a group, so that its age is known when the
-// next one is wanted.
-func (p *Proxy) learnTurn(g *groupControl) {
-	ctx, cancel := context.WithTimeout(context.Background(), turn.Window)
-	defer cancel()
-	item, err := p.seams.Register.Get(ctx, string(g.group.name))
-	if err != nil {
+// settlePause separates reads of a turn that is not settled.
+const settlePause = 100 * time.Millisecond
+
+// settle reads the group's last turn, so that its age is known when the next one is
+// wanted, and learns whether a promotion may still come of it.
+func (g *groupControl) settle(now time.Time) {
+	if g.settling {
 		return
 	}
-	g.control.post(ctx, func(now time.Time) { g.turn.Seen(now, item.Revision, ownerOf(item.Value)) })
+	g.settling, g.settledAt = true, now
+	go g.readTurn(now)
+}
+
+// readTurn reads the turn as of asOf.
+func (g *groupControl) readTurn(asOf time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), turn.Window)
+	defer cancel()
+	item, err := g.control.proxy.seams.Register.Get(ctx, string(g.group.name))
+	g.control.post(context.Background(), func(now time.Time) {
+		g.settling = false
+		if err != nil {
+			return
+		}
+		g.turn.Seen(now, item.Revision, item.Value)
+		if g.turn.IsSettled(item.Revision, asOf) {
+			g.perform(now, g.machine.Settled(now, asOf))
+		}
+	})
 }
 
 // taken is a turn that this instance took.
@@ -37,6 +54,7 @@
 	token uint64
 	// asked is when the turn was asked for; it ends a window later.
 	asked time.Time
+	value string
 }
 
 // beginTurn takes the group's next turn and fences the endpoints in it. Without
@@ -93,6 +111,7 @@
 		log.WithError(err).Warn("promotion failed")
 	} else {
 		log.WithField("point", r.Last.String()).Info("promotion done")
+		go g.endTurn(t)
 	}
 	g.control.post(context.Background(), func(now time.Time) {
 		g.perform(now, g.machine.PromoteDone(now, e.info.Name, term, err == nil, r.Status))
@@ -112,7 +131,7 @@
 		return Report{}, fmt.Errorf("proxy: could not promote %s: %w", e.info.Name, err)
 	}
 	for end := p.now().Add(promoteLimit); p.now().Before(end); {
-		r, err := e.report(false)
+		r, _, err := e.report(false)
 		if err == nil && r.Role == core.RolePrimary {
 			return r, nil
 		}
@@ -121,6 +140,15 @@
 	return Report{}, errNotPrimary
 }
 
+// endTurn tells that the turn's promotion took effect, so that an instance that starts
+// later need not wait until the turn is old.
+func (g *groupControl) endTurn(t taken) {
+	ctx, cancel := context.WithTimeout(context.Background(), turn.Window)
+	defer cancel()
+	_, err := g.control.proxy.seams.Register.Swap(ctx, string(g.group.name), t.token, turn.Over(t.value))
+	g.control.proxy.event(core.EventTurn).WithField("group", g.group.name).WithField("token", t.token).WithError(err).Info("turn ended")
+}
+
 // takeTurn takes the group's next turn.
 func (g *groupControl) takeTurn() (taken, error) {
 	p := g.control.proxy
@@ -132,7 +160,7 @@
 	}
 	wait := make(chan time.Duration, 1)
 	g.control.post(ctx, func(now time.Time) {
-		g.turn.Seen(now, item.Revision, ownerOf(item.Value))
+		g.turn.Seen(now, item.Revision, item.Value)
 		wait <- g.turn.Wait(now, p.settings.Instance)
 	})
 	select {
@@ -143,11 +171,10 @@
 	case <-ctx.Done():
 		return taken{}, ctx.Err()
 	}
-	t := taken{asked: p.now()}
-	value := p.settings.Instance + " " + strconv.FormatUint(rand.Uint64(), 36)
-	t.token, err = p.seams.Register.Swap(ctx, string(g.group.name), item.Revision, value)
+	t := taken{asked: p.now(), value: p.settings.Instance + " " + strconv.FormatUint(rand.Uint64(), 36)}
+	t.token, err = p.seams.Register.Swap(ctx, string(g.group.name), item.Revision, t.value)
 	if err != nil {
-		t.token, err = g.settleTurn(ctx, value)
+		t.token, err = g.settleTurn(ctx, t.value)
 	}
 	if err == nil && t.token == 0 {
 		err = errTurnTaken
@@ -166,9 +193,3 @@
 	}
 	return item.Revision, nil
 }
-
-// ownerOf returns the instance that a value of the register names.
-func ownerOf(value string) string {
-	owner, _, _ := strings.Cut(value, " ")
-	return owner
-}
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -74,6 +74,8 @@
 	State State
 	// Point is how far reads at the endpoint see its log; zero when not said.
 	Point core.Point
+	// runsSince is since when the endpoint's process is known to have run.
+	runsSince time.Time
 }
 
 // Fault is what an endpoint says went wrong with a statement.
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -148,7 +148,7 @@
 	}
 	tx.link, tx.arrived = l, arrived
 	if tx.term > 0 && !tx.readOnly {
-		tx.group.control.witnessed(e, sentAt, core.Point{})
+		tx.group.control.witnessed(e, witness{sentAt: sentAt, runsSince: a.runsSince})
 	}
 	return "", nil
 }
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -139,7 +139,7 @@
 // acknowledge answers a commit once a majority holds it in the primary's term.
 func (s *session) acknowledge(a Answer, c commit, arrived time.Time) Answer {
 	at := s.proxy.now()
-	c.group.control.witnessed(c.endpoint, c.sentAt, a.Point)
+	c.group.control.witnessed(c.endpoint, witness{sentAt: c.sentAt, runsSince: a.runsSince, point: a.Point})
 	c.group.want(failover.Want{Point: a.Point})
 	left := max(c.route.Timeout-at.Sub(arrived), busyPause)
 	if v := c.group.verdict(left, time.Time{}, c.term, a.Point); v != failover.VerdictConfirmed {
