--- a/proxy/group.go
+++ b/proxy/group.go
@@ -132,7 +132,6 @@
 	}
 	g.group.control = g
 	g.group.state.Store(&groupState{history: &mark.History{}})
-	g.settle(c.proxy.now())
 	return g
 }
 
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -38,7 +38,7 @@
 	e := l.endpoint
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.runsSince.Before(l.runsSince) && !e.ranAt.Before(l.runsSince) {
+	if e.runsSince.Before(l.runsSince) && l.runsSince.Sub(e.ranAt) < restartFloor {
 		l.runsSince = e.runsSince
 	}
 	switch {
@@ -50,6 +50,10 @@
 	return l.runsSince
 }
 
+// restartFloor is less than any endpoint's process takes to end and another to serve
+// under its name: a new one has to read its log first.
+const restartFloor = 100 * time.Millisecond
+
 // steadyFor is how long the connections that show an endpoint to have run the longest
 // may go without an answer before younger ones count: a few reports.
 const steadyFor = 3 * time.Second
