Do not take a primary for cut off because its replicas take no connection

Cause: after all instances lost power their dead connections fill the endpoints for 3 s. Change: a stall needs that too few endpoints are left beside the silent ones and those that reported less since the position was wanted. Test: TestFullReplicasAreNoStall fails before.

--- a/core/group/sparse.go
+++ b/core/group/sparse.go
@@ -69,14 +69,28 @@
 }
 
 // stalledInVain returns how long a position that was wanted has not been shown by a
-// majority. What the primary is ahead by without anyone asking does not count.
+// majority. What the primary is ahead by without anyone asking does not count, nor
+// what endpoints that answer could not be asked.
 func (m *Machine) stalledInVain(now time.Time) time.Duration {
-	if !m.isBehind() {
+	if !m.isBehind() || !m.isHeldUp() {
 		return 0
 	}
 	return now.Sub(latest(m.behindSince, m.heardSince, m.termAt))
 }
 
+// isHeldUp reports whether too few endpoints are left to hold the wanted position
+// beside those that do not answer and those that reported less since it was wanted.
+func (m *Machine) isHeldUp() bool {
+	left := 0
+	for _, e := range m.members {
+		isShort := e.sentAt.After(m.behindSince) && e.held(m.term) < m.wanted.Point.Position
+		if e.failures == 0 && !isShort {
+			left++
+		}
+	}
+	return left < m.majority()
+}
+
 // Unreplaced takes a proof from elsewhere that nobody replaced the primary of term
 // before asOf.
 func (m *Machine) Unreplaced(now time.Time, term uint64, asOf time.Time) []Action {
--- a/core/group/sparse_test.go
+++ b/core/group/sparse_test.go
@@ -122,6 +122,27 @@
 	is.True(!m.Availability().IsOpen())
 }
 
+// TestFullReplicasAreNoStall does not take a primary for cut off from its replicas
+// when these take no connection for the question.
+func TestFullReplicasAreNoStall(t *testing.T) {
+	is := is.New(t)
+	m := newSparse()
+	m.pass(10 * time.Millisecond)
+	wanted := core.Point{Term: 1, Position: 11}
+	for range 25 {
+		m.pass(100 * time.Millisecond)
+		m.Witnessed(m.now, "p", m.now, wanted)
+		m.SampleFailed(m.now, "r", m.now, Answered)
+		m.SampleFailed(m.now, "s", m.now, Answered)
+		m.Wanted(m.now, Want{Point: wanted})
+		is.True(!m.Attempting())
+	}
+	// One that reports to be behind and one that is silent do show it.
+	m.report("r", core.RoleReplica, 1, 1, 10)
+	m.SampleFailed(m.now, "s", m.now, FailureTimeout)
+	is.True(m.stalledInVain(m.now) > time.Second)
+}
+
 // TestGivenTermWithoutEntry serves in a new term before its first entry, but counts
 // nothing of the old log as held in it.
 func TestGivenTermWithoutEntry(t *testing.T) {
