Serve a group through a part of the instances where connections are scarce

Cause: every instance connected to every endpoint and had each report. Change: core/home picks the homes of a group, so many that each has three connections, dealt over the data centres by rendezvous hashing. An instance that is no home opens the session at one, nearest first, and hands messages on; homes that refuse, die or fall silent are avoided for 2 s, and with none left the instance serves the group itself. A home that stops tells that it left out what it did not read, so the refusal that nothing ran is true. Instances tell each other their version of the configuration over these sessions, and a statement waits up to 1 s for it, so that no instance falls back by asking another home.

--- a/core/event.go
+++ b/core/event.go
@@ -25,4 +25,5 @@
 	EventEndpoint      Event = 502
 	EventTurn          Event = 503
 	EventIsolated      Event = 504
+	EventRelay         Event = 505
 )
--- a/proxy/control.go
+++ b/proxy/control.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/home"
 )
 
 // controlQueue is how many events may wait for the control goroutine.
@@ -22,10 +24,16 @@
 	groups map[core.Group]*groupControl
 	// listed are the endpoints of the directory's newest list.
 	listed []Endpoint
-	// live are the instances that share the endpoints.
-	live []core.Instance
-	// seen is when each instance was listed last.
-	seen map[core.Instance]time.Time
+	// live are the instances that share the endpoints, sorted by name.
+	live []Peer
+	// seen is how and when each instance was listed last.
+	seen map[core.Instance]listing
+	// homes are those of each group, worked out for live and the configuration.
+	homes map[core.Group][]core.Instance
+	// lent tells that a group is served here though this instance is no home.
+	lent bool
+	// lookedAt is when the groups were arranged last.
+	lookedAt time.Time
 	// unreachedSince is since when no group's majority answers; zero while one
 	// does.
 	unreachedSince time.Time
@@ -35,10 +43,16 @@
 	return &control{
 		proxy: p, events: make(chan func(time.Time), controlQueue),
 		groups: make(map[core.Group]*groupControl),
-		seen:   make(map[core.Instance]time.Time),
+		seen:   make(map[core.Instance]listing),
 	}
 }
 
+// listing is an instance as it was listed last.
+type listing struct {
+	peer Peer
+	at   time.Time
+}
+
 // String names the service in logs.
 func (c *control) String() string { return "control" }
 
@@ -67,6 +81,9 @@
 		}
 		pause = min(pause, g.due.Sub(now))
 	}
+	if c.lent && now.Sub(c.lookedAt) >= lentFor/2 {
+		c.arrange()
+	}
 	c.noteReach(now)
 	return max(pause, time.Millisecond)
 }
@@ -124,6 +141,7 @@
 		return
 	}
 	c.proxy.config.Store(config)
+	c.homes = nil
 	c.arrange()
 	c.proxy.event(core.EventConfig).WithField("version", config.Version).WithField("routes", len(config.Routes)).Info("configuration in force")
 }
@@ -139,25 +157,26 @@
 const absentFor = 20 * time.Second
 
 // share takes the listed instances.
-func (c *control) share(listed []core.Instance) {
+func (c *control) share(listed []Peer) {
 	now := c.proxy.now()
-	for _, i := range listed {
-		c.seen[i] = now
+	for _, p := range listed {
+		c.seen[p.Name] = listing{peer: p, at: now}
 	}
-	var live []core.Instance
-	for i, at := range c.seen {
-		if now.Sub(at) >= absentFor {
+	var live []Peer
+	for i, l := range c.seen {
+		if now.Sub(l.at) >= absentFor {
 			delete(c.seen, i)
 			continue
 		}
-		live = append(live, i)
+		live = append(live, l.peer)
 	}
-	slices.Sort(live)
+	slices.SortFunc(live, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
 	if slices.Equal(live, c.live) {
 		return
 	}
 	c.proxy.event(core.EventMembers).WithField("instances", len(live)).Info("live instances changed")
 	c.live = live
+	c.homes = nil
 	c.arrange()
 }
 
@@ -174,22 +193,94 @@
 			members[e.Group] = append(members[e.Group], e)
 		}
 	}
+	c.findHomes(config)
 	view := make(map[core.Group]*group, len(config.Groups))
 	now := c.proxy.now()
+	c.lent, c.lookedAt = false, now
 	for name, settings := range config.Groups {
+		if !c.serves(now, name) {
+			continue
+		}
 		g, ok := c.groups[name]
 		if !ok {
 			g = newGroupControl(c, name)
 			c.groups[name] = g
 		}
-		g.configure(now, members[name], settings)
+		g.configure(now, members[name], settings, c.homes[name])
 		view[name] = g.group
 	}
 	for name, g := range c.groups {
 		if _, ok := view[name]; !ok {
-			g.configure(now, nil, GroupSettings{})
+			g.configure(now, nil, GroupSettings{}, nil)
 			delete(c.groups, name)
 		}
 	}
 	c.proxy.groups.Store(&view)
 }
+
+// findHomes works out the homes of all groups.
+func (c *control) findHomes(config *Config) {
+	if c.homes != nil {
+		return
+	}
+	var instances []home.Instance
+	peers := make(map[core.Instance]Peer, len(c.live))
+	for _, p := range c.live {
+		peers[p.Name] = p
+		if p.Sessions.IsValid() {
+			instances = append(instances, home.Instance{Name: p.Name, DataCentre: p.DataCentre})
+		}
+	}
+	if len(instances) == 0 {
+		for _, p := range c.live {
+			instances = append(instances, home.Instance{Name: p.Name, DataCentre: p.DataCentre})
+		}
+	}
+	c.homes = make(map[core.Group][]core.Instance, len(config.Groups))
+	view := make(map[core.Group][]Peer, len(config.Groups))
+	for name, settings := range config.Groups {
+		c.homes[name] = home.Choose(name, instances, settings.Connections)
+		for _, i := range c.homes[name] {
+			if p := peers[i]; i != c.self() && p.Sessions.IsValid() {
+				view[name] = append(view[name], p)
+			}
+		}
+	}
+	c.proxy.homes.Store(&view)
+}
+
+func (c *control) self() core.Instance { return core.Instance(c.proxy.settings.Instance) }
+
+// lentFor is how long a group of which this instance is no home stays here after
+// its last statement; transactions rest for less.
+const lentFor = 20 * time.Second
+
+// serves reports whether a group is served here: this instance is a home, or
+// statements of the group came here lately.
+func (c *control) serves(now time.Time, name core.Group) bool {
+	homes := c.homes[name]
+	if len(homes) == 0 || slices.Contains(homes, c.self()) {
+		return true
+	}
+	g := c.groups[name]
+	if g == nil || now.Sub(time.Unix(0, g.group.usedAt.Load())) >= lentFor {
+		return false
+	}
+	c.lent = true
+	return true
+}
+
+// serve begins to serve a group here that homes should serve and do not.
+func (c *control) serve(now time.Time, name core.Group) {
+	config := c.proxy.config.Load()
+	if config == nil || c.groups[name] != nil {
+		return
+	}
+	if _, ok := config.Groups[name]; !ok {
+		return
+	}
+	g := newGroupControl(c, name)
+	g.group.usedAt.Store(now.UnixNano())
+	c.groups[name] = g
+	c.arrange()
+}
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -75,12 +75,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for s := range p.sessions {
-		if s.open.Load() && !all {
-			continue
-		}
-		s.stopping.Store(true)
-		s.caller.Interrupt()
+		s.stop(all)
+	}
+}
+
+// stop ends the session between two statements, inside a transaction only if all is
+// set.
+func (s *session) stop(all bool) {
+	if s.relay != nil {
+		s.relay.Stop(all)
+		return
+	}
+	if s.open.Load() && !all {
+		return
 	}
+	s.stopping.Store(true)
+	s.caller.Interrupt()
 }
 
 // count returns how many sessions are open.
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -52,7 +52,10 @@
 	name  core.Group
 	state atomic.Pointer[groupState]
 	// queued counts the statements that wait for a primary.
-	queued  atomic.Int64
+	queued atomic.Int64
+	// usedAt is when a statement last asked for the group, in nanoseconds since
+	// 1970.
+	usedAt  atomic.Int64
 	control *groupControl
 
 	mu sync.Mutex
@@ -99,7 +102,9 @@
 	due time.Time
 	// turn is the last one taken for the group by anyone.
 	turn turn.Turn
-	// rank is this instance's place among the listed ones, 0 acting first.
+	// homes are the instances that connect to the group.
+	homes []core.Instance
+	// rank is this instance's place among them, 0 acting first.
 	rank int
 	// settling tells that the turn is being read, and settledAt when that began last.
 	settling  bool
@@ -137,7 +142,8 @@
 
 // configure takes the group's endpoints. One that was born again under its name
 // is another endpoint.
-func (g *groupControl) configure(now time.Time, list []Endpoint, s GroupSettings) {
+func (g *groupControl) configure(now time.Time, list []Endpoint, s GroupSettings, homes []core.Instance) {
+	g.homes = homes
 	kept := make(map[core.Endpoint]bool, len(list))
 	// claimed is an endpoint that calls itself primary and was not known as one.
 	var claimed core.Endpoint
@@ -158,7 +164,7 @@
 		}
 		kept[l.Name] = true
 		e.leaving.Store(l.Leaving)
-		e.setShare(s.Connections, len(g.control.live))
+		e.setShare(s.Connections, len(g.homes))
 	}
 	for name, e := range g.endpoints {
 		if !kept[name] {
@@ -208,12 +214,12 @@
 	}
 }
 
-// place works out this instance's rank from the instances that are listed now.
+// place works out this instance's rank among the homes.
 func (g *groupControl) place() int {
 	hash := func(i core.Instance) uint64 { return xxhash.Sum64String(string(i) + " " + string(g.group.name)) }
 	own := hash(core.Instance(g.control.proxy.settings.Instance))
 	rank := 0
-	for _, i := range g.control.live {
+	for _, i := range g.homes {
 		if hash(i) < own {
 			rank++
 		}
@@ -226,7 +232,7 @@
 func (g *groupControl) rerank() {
 	rank := g.rank
 	if !g.control.proxy.seams.Register.Usable() {
-		rank += len(g.control.live)
+		rank += len(g.homes)
 	}
 	g.machine.SetRank(rank, 1)
 }
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -24,6 +24,8 @@
 	own           metrics.Counter
 	closed        metrics.Counter
 	eventsDropped metrics.Counter
+	relayed       metrics.Counter
+	relaysLost    metrics.Counter
 	readTime      metrics.Histogram
 	writeTime     metrics.Histogram
 	confirmTime   metrics.Histogram
@@ -42,6 +44,8 @@
 		own:           metrics.GetOrRegisterCounter("own_statements", r),
 		closed:        metrics.GetOrRegisterCounter("statements_without_primary", r),
 		eventsDropped: metrics.GetOrRegisterCounter("control_events_dropped", r),
+		relayed:       metrics.GetOrRegisterCounter("sessions_relayed", r),
+		relaysLost:    metrics.GetOrRegisterCounter("relayed_statements_lost", r),
 		readTime:      histogram("read_ns"),
 		writeTime:     histogram("write_ns"),
 		confirmTime:   histogram("confirm_ns"),
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -27,6 +27,9 @@
 	Instance   string
 	DataCentre string
 	Callers    netip.AddrPort
+	// Sessions is the address for sessions that other instances hand on; none
+	// without one.
+	Sessions netip.AddrPort
 	// Metrics is the address of metrics and of the state dump; none without one.
 	Metrics netip.AddrPort
 	// Grace is the time from a signal to stop to the kill.
@@ -45,6 +48,11 @@
 	skipped atomic.Int64
 	config  atomic.Pointer[Config]
 	groups  atomic.Pointer[map[core.Group]*group]
+	// homes tells where the sessions of groups are served that this instance does
+	// not connect to.
+	homes   atomic.Pointer[map[core.Group][]Peer]
+	floor   floor
+	avoid   avoided
 	control *control
 	drainer *drainer
 	// isolated tells that no group can be reached.
@@ -74,12 +82,13 @@
 	p.control = newControl(p)
 	p.drainer = newDrainer(p)
 	p.groups.Store(&map[core.Group]*group{})
+	p.homes.Store(&map[core.Group][]Peer{})
 	return p
 }
 
 // IsReady reports whether the instance takes new sessions.
 func (p *Proxy) IsReady() bool {
-	return p.config.Load() != nil && len(*p.groups.Load()) > 0 && !p.drainer.isDraining() && !p.isolated.Load()
+	return p.config.Load() != nil && !p.drainer.isDraining() && !p.isolated.Load()
 }
 
 // Serve runs the instance until ctx ends or a planned stop, which begins when
@@ -101,9 +110,16 @@
 		return p.seams.Directory.Watch(ctx, func(l []Endpoint) { p.control.post(ctx, func(time.Time) { p.control.list(l) }) })
 	}})
 	root.Add(service{name: "members", run: func(ctx context.Context) error {
-		return p.seams.Members.Keep(ctx, func(l []core.Instance) { p.control.post(ctx, func(time.Time) { p.control.share(l) }) })
+		return p.seams.Members.Keep(ctx, func(l []Peer) { p.control.post(ctx, func(time.Time) { p.control.share(l) }) })
 	}})
-	root.Add(service{name: "callers", run: p.listen})
+	root.Add(service{name: "callers", run: func(ctx context.Context) error {
+		return p.listen(ctx, p.settings.Callers, p.seams.Callers.Start)
+	}})
+	if p.settings.Sessions.IsValid() {
+		root.Add(service{name: "sessions", run: func(ctx context.Context) error {
+			return p.listen(ctx, p.settings.Sessions, p.startRelayed)
+		}})
+	}
 	if p.settings.Metrics.IsValid() {
 		root.Add(service{name: "metrics", run: p.serveMetrics})
 	}
@@ -129,10 +145,10 @@
 // Serve runs the service.
 func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
 
-// listen accepts callers.
-func (p *Proxy) listen(ctx context.Context) error {
+// listen accepts callers at an address.
+func (p *Proxy) listen(ctx context.Context, at netip.AddrPort, start func(net.Conn) (*Caller, error)) error {
 	var config net.ListenConfig
-	socket, err := config.Listen(ctx, "tcp", p.settings.Callers.String())
+	socket, err := config.Listen(ctx, "tcp", at.String())
 	if err != nil {
 		return fmt.Errorf("proxy: could not listen for callers: %w", err)
 	}
@@ -150,7 +166,7 @@
 		if err != nil {
 			return fmt.Errorf("proxy: could not accept a caller: %w", err)
 		}
-		go p.serve(conn)
+		go p.serve(conn, start)
 	}
 }
 
--- a/proxy/seams.go
+++ b/proxy/seams.go
@@ -13,6 +13,16 @@
 type Callers struct {
 	// Start takes a new connection up to its first statement.
 	Start func(conn net.Conn) (*Caller, error)
+	// StartRelayed takes a session that another instance hands on.
+	StartRelayed func(conn net.Conn, v Versions) (*Caller, error)
+}
+
+// Versions are those of the configuration, which instances tell one another so that
+// no session falls back to an older one when another instance serves it.
+type Versions struct {
+	// Known returns the newest version heard of.
+	Known func() uint64
+	Learn func(version uint64)
 }
 
 // Caller is one caller's connection.
@@ -31,6 +41,21 @@
 	// Interrupt makes a waiting Next fail, unless a statement is under way.
 	Interrupt func()
 	Close     func()
+	// Relayed tells that another instance handed the session on.
+	Relayed bool
+	// Relay opens the session at another instance, which answers each statement
+	// within timeout.
+	Relay func(ctx context.Context, to Peer, timeout time.Duration, v Versions) (*Relay, error)
+}
+
+// Relay is a session that another instance serves.
+type Relay struct {
+	// Run hands messages on until the session ends. It returns the statement that
+	// got no answer, empty for none.
+	Run func() (lost string)
+	// Stop ends the session between two statements, inside a transaction only if
+	// all is set.
+	Stop func(all bool)
 }
 
 // Endpoints is the protocol of endpoints.
@@ -82,6 +107,8 @@
 	// Watch offers the newest configuration now and after each change until ctx
 	// ends.
 	Watch func(ctx context.Context, offer func(*Config)) error
+	// Hurry asks for the newest configuration at once.
+	Hurry func()
 }
 
 // Item is a value of the register; Revision is zero when there is none.
@@ -101,10 +128,19 @@
 	Usable func() bool
 }
 
+// Peer is a live instance.
+type Peer struct {
+	Name       core.Instance
+	DataCentre core.DataCentre
+	// Sessions is the address at which it serves sessions of other instances;
+	// invalid when it serves none.
+	Sessions netip.AddrPort
+}
+
 // Members lists the live instances.
 type Members struct {
 	// Keep holds this instance's entry and offers all of them until ctx ends.
-	Keep func(ctx context.Context, offer func(live []core.Instance)) error
+	Keep func(ctx context.Context, offer func(live []Peer)) error
 }
 
 // Promoter makes an endpoint the primary of its group.
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -36,6 +36,8 @@
 	open atomic.Bool
 	// stopping tells the session to begin no further statement.
 	stopping atomic.Bool
+	// relay is set when another instance serves the session.
+	relay *Relay
 }
 
 // ownMark is a commit of the session.
@@ -45,8 +47,8 @@
 }
 
 // serve answers one caller until the session ends.
-func (p *Proxy) serve(conn net.Conn) {
-	caller, err := p.seams.Callers.Start(conn)
+func (p *Proxy) serve(conn net.Conn, start func(net.Conn) (*Caller, error)) {
+	caller, err := start(conn)
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -58,11 +60,19 @@
 func (p *Proxy) converse(caller *Caller) {
 	defer caller.Close()
 	p.awaitConfig()
-	if _, err := p.route(caller.Database); err != nil {
+	p.floor.await(p)
+	r, err := p.route(caller.Database)
+	if err == nil && caller.Relayed && p.drainer.isDraining() {
+		err = core.NewError(core.CodeDraining, "the instance stops")
+	}
+	if err != nil {
 		p.refused(caller, "", err)
 		caller.Reject(err)
 		return
 	}
+	if !caller.Relayed && p.relay(caller, r) {
+		return
+	}
 	s := &session{
 		proxy: p, caller: caller, values: map[string]string{},
 		prepared: map[string]Statement{}, marks: map[core.Group]ownMark{},
@@ -116,6 +126,7 @@
 			return
 		}
 		arrived := s.proxy.now()
+		s.proxy.floor.await(s.proxy)
 		a := s.answer(st, arrived)
 		if a.Err != nil {
 			s.refusedAt = s.proxy.now()
@@ -195,10 +206,11 @@
 	if err != nil {
 		return Route{}, nil, err
 	}
-	g := (*s.proxy.groups.Load())[r.Group]
+	g := s.proxy.groupOf(r.Group)
 	if g == nil {
 		return Route{}, nil, core.NewError(core.CodeNoGroup, "group %s is not known", r.Group)
 	}
+	g.usedAt.Store(s.proxy.now().UnixNano())
 	return r, g, nil
 }
 
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -98,8 +98,8 @@
 			return ctx.Err()
 		}},
 		Register: Register{Get: w.getTurn, Swap: w.swapTurn, Usable: func() bool { return !w.isStoreDown() }},
-		Members: Members{Keep: func(ctx context.Context, offer func([]core.Instance)) error {
-			offer([]core.Instance{"i1"})
+		Members: Members{Keep: func(ctx context.Context, offer func([]Peer)) error {
+			offer([]Peer{{Name: "i1"}})
 			<-ctx.Done()
 			return ctx.Err()
 		}},
