Hand the configuration over between instances

Change: instances hand the text over on the sessions that they relay, before the statement that came with it; statements wait 0.3 s at most.

--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -130,8 +130,8 @@
 }
 
 // floorPatience is how long statements wait for a configuration that another
-// instance has; this one may be cut off from the store.
-const floorPatience = time.Second
+// instance has: a few network trips, since that instance hands it over.
+const floorPatience = 300 * time.Millisecond
 
 // floor is the newest version of the configuration that other instances told of.
 type floor struct {
@@ -161,9 +161,6 @@
 	for old := p.floor.version.Load(); version > old; old = p.floor.version.Load() {
 		if p.floor.version.CompareAndSwap(old, version) {
 			p.floor.until.Store(p.now().Add(floorPatience).UnixNano())
-			if version > p.version() {
-				p.seams.Source.Hurry()
-			}
 			return
 		}
 	}
--- a/proxy/seams.go
+++ b/proxy/seams.go
@@ -107,8 +107,6 @@
 	// Watch offers the newest configuration now and after each change until ctx
 	// ends.
 	Watch func(ctx context.Context, offer func(*Config)) error
-	// Hurry asks for the newest configuration at once.
-	Hurry func()
 }
 
 // Item is a value of the register; Revision is zero when there is none.
