Do not take a primary for absent that has no connection left to tell its role

Cause: after all instances lost power an instance that started knew both replicas, but the primary had no connection free until the dead ones were dropped 3 s later. Silence made that an absent primary after 0.44 s: four healthy primaries of the Index Lab's grown site were replaced at 45.4 to 46.0 s, with their replicas fenced from 43.4 s on. Change: nobody is absent while an endpoint that answers has not told its role. Test: TestFullPrimaryIsNotAbsent fails before.

--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -49,7 +49,7 @@
 			return suspicion{reason: ReasonLeaving, since: now, suspect: e.Name}
 		}
 	}
-	if m.fence > 0 && !m.absentSince.IsZero() && now.Sub(m.absentSince) >= m.absence(now) {
+	if m.fence > 0 && !m.absentSince.IsZero() && now.Sub(m.absentSince) >= m.absence(now) && !m.isUnreported() {
 		return suspicion{reason: ReasonAbsent, since: m.absentSince}
 	}
 	return suspicion{}
@@ -89,6 +89,17 @@
 	return m.periods.Absence
 }
 
+// isUnreported reports whether an endpoint that answers has not told its role yet,
+// as one does that takes no more connections: it may be the primary.
+func (m *Machine) isUnreported() bool {
+	for _, e := range m.members {
+		if !e.known && e.failures == 0 && !e.answeredAt.Before(m.heardSince) && !e.answeredAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // latest returns the last of several times.
 func latest(times ...time.Time) time.Time {
 	var l time.Time
--- a/core/group/sparse_test.go
+++ b/core/group/sparse_test.go
@@ -143,6 +143,31 @@
 	is.True(m.stalledInVain(m.now) > time.Second)
 }
 
+// TestFullPrimaryIsNotAbsent does not replace a primary that takes no connection from
+// an instance which just started and knows only the replicas.
+func TestFullPrimaryIsNotAbsent(t *testing.T) {
+	is := is.New(t)
+	m := newSparse()
+	m.Machine = New("g", "i", WithPeriods(m.periods), WithGivenTerms(), WithSparseSamples())
+	m.Configure(m.now, []Member{{Name: "p"}, {Name: "r"}, {Name: "s"}})
+	for range 50 {
+		m.report("r", core.RoleReplica, 1, 1, 10)
+		m.report("s", core.RoleReplica, 1, 1, 10)
+		m.SampleFailed(m.now, "p", m.now, Answered)
+		m.pass(100 * time.Millisecond)
+		is.True(!m.Attempting())
+	}
+	m.SampleFailed(m.now, "p", m.now, FailureTimeout)
+	attempted := false
+	for range 50 {
+		m.report("r", core.RoleReplica, 1, 1, 10)
+		m.report("s", core.RoleReplica, 1, 1, 10)
+		m.pass(100 * time.Millisecond)
+		attempted = attempted || m.Attempting()
+	}
+	is.True(attempted) // one that does not answer is
+}
+
 // TestGivenTermWithoutEntry serves in a new term before its first entry, but counts
 // nothing of the old log as held in it.
 func TestGivenTermWithoutEntry(t *testing.T) {
