Test what an instance does with groups of which it is no home

An instance arranges its groups once it knows the others, so that one that starts does not connect to everything for a moment (TestGuestHandsSessionsOn saw a report at an endpoint).

--- a/proxy/control.go
+++ b/proxy/control.go
@@ -185,7 +185,7 @@
 // the configuration only names them.
 func (c *control) arrange() {
 	config := c.proxy.config.Load()
-	if config == nil {
+	if config == nil || len(c.live) == 0 {
 		return
 	}
 	members := make(map[core.Group][]Endpoint)
--- a/proxy/world_test.go
+++ b/proxy/world_test.go
@@ -50,13 +50,17 @@
 	stop     chan struct{}
 	done     chan error
 	callers  map[string]*testCaller
+	// peers are the listed instances.
+	peers []Peer
+	// relay opens a session at another instance.
+	relay func(to Peer) (*Relay, error)
 }
 
 // silentFor is how long a dark fake leaves a caller of it waiting at most.
 const silentFor = 300 * time.Millisecond
 
 func newWorld(now func() time.Time) *world {
-	w := &world{stop: make(chan struct{}), done: make(chan error, 1), callers: map[string]*testCaller{}}
+	w := &world{stop: make(chan struct{}), done: make(chan error, 1), callers: map[string]*testCaller{}, peers: []Peer{{Name: "i1"}}}
 	for i, name := range []core.Endpoint{"p", "r", "s"} {
 		f := &fake{
 			info: Endpoint{Name: name, Group: "g", DataCentre: core.DataCentre("dc" + strconv.Itoa(i)), Slots: 3, Role: core.RoleReplica},
@@ -99,7 +103,7 @@
 		}},
 		Register: Register{Get: w.getTurn, Swap: w.swapTurn, Usable: func() bool { return !w.isStoreDown() }},
 		Members: Members{Keep: func(ctx context.Context, offer func([]Peer)) error {
-			offer([]Peer{{Name: "i1"}})
+			offer(w.peers)
 			<-ctx.Done()
 			return ctx.Err()
 		}},
@@ -389,9 +393,18 @@
 
 // open begins a session.
 func (w *world) open(name string, database core.Database) *testCaller {
+	return w.begin(name, database, false)
+}
+
+// openRelayed begins a session that another instance hands on.
+func (w *world) openRelayed(name string, database core.Database) *testCaller {
+	return w.begin(name, database, true)
+}
+
+func (w *world) begin(name string, database core.Database, relayed bool) *testCaller {
 	c := &testCaller{statements: make(chan Statement), answers: make(chan Answer, 1), ended: make(chan struct{}), interrupt: make(chan struct{})}
 	caller := &Caller{
-		Database: database, Name: core.Caller(name),
+		Database: database, Name: core.Caller(name), Relayed: relayed,
 		Ready: func() error { return nil },
 		Next: func(limit time.Duration) (Statement, error) {
 			var timeout <-chan time.Time
@@ -414,6 +427,9 @@
 		Reject:    func(err error) { c.answers <- Answer{Err: err} },
 		Interrupt: func() { c.once.Do(func() { close(c.interrupt) }) },
 		Close:     func() {},
+		Relay: func(_ context.Context, to Peer, _ time.Duration, _ Versions) (*Relay, error) {
+			return w.relay(to)
+		},
 	}
 	w.callers[name] = c
 	go func() {
@@ -437,15 +453,18 @@
 
 // run starts the instance and waits until it can serve.
 func (w *world) run() {
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() { w.done <- w.proxy.Serve(ctx, w.stop) }()
-	_ = cancel
+	w.start()
 	w.until(func() bool {
 		g := (*w.proxy.groups.Load())["g"]
 		return g != nil && g.state.Load().isOpen() && !g.state.Load().confirmed.AsOf.IsZero()
 	})
 }
 
+// start starts the instance.
+func (w *world) start() {
+	go func() { w.done <- w.proxy.Serve(context.Background(), w.stop) }()
+}
+
 // until waits for a condition; the test's own time limit ends a wait in vain.
 func (w *world) until(ok func() bool) {
 	for !ok() {
