--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 LINT = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test search lint format generate check-generated demo demo-board bench clean
+.PHONY: build test search soak lint format generate check-generated demo demo-board bench clean
 
 build:
 	go build -o bin/anviltack .
@@ -13,6 +13,11 @@
 search:
 	go test -count=1 ./core/...
 
+# Strikes a group in memory for SOAK.
+SOAK = 10m
+soak:
+	go test -race -count=1 -timeout 0 -run 'TestSoak$$' -v ./proxy -soak $(SOAK)
+
 lint:
 	$(LINT) run ./...
 
