--- a/proxy/control.go
+++ b/proxy/control.go
@@ -217,6 +217,9 @@
 		}
 	}
 	c.proxy.groups.Store(&view)
+	if len(c.listed) > 0 {
+		c.proxy.arranged.Store(true)
+	}
 }
 
 // findHomes works out the homes of all groups.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -57,6 +57,8 @@
 	drainer *drainer
 	// isolated tells that no group can be reached.
 	isolated atomic.Bool
+	// arranged tells that configuration, instances and endpoints are known.
+	arranged atomic.Bool
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
@@ -88,7 +90,7 @@
 
 // IsReady reports whether the instance takes new sessions.
 func (p *Proxy) IsReady() bool {
-	return p.config.Load() != nil && !p.drainer.isDraining() && !p.isolated.Load()
+	return p.arranged.Load() && !p.drainer.isDraining() && !p.isolated.Load()
 }
 
 // Serve runs the instance until ctx ends or a planned stop, which begins when
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -130,3 +130,18 @@
 	is.NoErr(s.send(Statement{ID: "3", Kind: KindRead}).Err)
 	is.Equal(w.proxy.known(), uint64(9))
 }
+
+// TestConfigurationAloneIsNotReady takes no sessions, and does not call a database
+// unknown, while an instance has a configuration from another one and no list of
+// instances or endpoints.
+func TestConfigurationAloneIsNotReady(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(nil)
+	w.peers = nil
+	w.start()
+	w.until(func() bool { return w.proxy.version() > 0 })
+	is.True(!w.proxy.IsReady())
+	c := w.open("a", "bounded")
+	is.Equal(asError((<-c.answers).Err).Code, core.CodeNoPrimary)
+}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -65,6 +65,9 @@
 	if err == nil && caller.Relayed && p.drainer.isDraining() {
 		err = core.NewError(core.CodeDraining, "the instance stops")
 	}
+	if err == nil && !p.arranged.Load() {
+		err = core.NewError(core.CodeNoPrimary, "the endpoints are not known yet").WithRetry(retryAdvice)
+	}
 	if err != nil {
 		p.refused(caller, "", err)
 		caller.Reject(err)
