--- a/proxy/control.go
+++ b/proxy/control.go
@@ -34,6 +34,10 @@
 	lent bool
 	// lookedAt is when the groups were arranged last.
 	lookedAt time.Time
+	// changedAt is when live changed first since the groups were arranged for it, and
+	// settledAt when that counts; both are zero while they are.
+	changedAt time.Time
+	settledAt time.Time
 	// unreachedSince is since when no group's majority answers; zero while one
 	// does.
 	unreachedSince time.Time
@@ -81,6 +85,9 @@
 		}
 		pause = min(pause, g.due.Sub(now))
 	}
+	if !c.settledAt.IsZero() && !now.Before(c.settledAt) {
+		c.rehome()
+	}
 	if c.lent && now.Sub(c.lookedAt) >= lentFor/2 {
 		c.arrange()
 	}
@@ -176,7 +183,33 @@
 		return
 	}
 	c.proxy.event(core.EventMembers).WithField("instances", len(live)).Info("live instances changed")
+	first := len(c.live) == 0
 	c.live = live
+	if first {
+		c.rehome()
+		return
+	}
+	if c.changedAt.IsZero() {
+		c.changedAt = now
+	}
+	c.settledAt = now.Add(shareQuiet)
+	if last := c.changedAt.Add(shareLimit); c.settledAt.After(last) {
+		c.settledAt = last
+	}
+}
+
+const (
+	// shareQuiet is how long the list of instances has to stand before the groups
+	// are dealt anew: a fleet that starts is listed within some hundred milliseconds,
+	// and each deal opens and closes connections.
+	shareQuiet = 500 * time.Millisecond
+	// shareLimit bounds the wait while the list goes on changing.
+	shareLimit = 2 * time.Second
+)
+
+// rehome deals the groups to the instances that are listed now.
+func (c *control) rehome() {
+	c.changedAt, c.settledAt = time.Time{}, time.Time{}
 	c.homes = nil
 	c.arrange()
 }
