--- a/cli/serve.go
+++ b/cli/serve.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"anviltack/instance"
-	"anviltack/io/platform"
+	"anviltack/io/consul"
 	"anviltack/settings"
 )
 
@@ -33,8 +33,8 @@
 		return fmt.Errorf("cli: bad log level: %w", err)
 	}
 	log.SetLevel(level)
-	client := platform.New(checked.Platform)
-	in := instance.New(checked, instance.WithLog(log), instance.WithPlatform(client.Platform(), client.List()))
+	client := consul.New(checked.Platform)
+	in := instance.New(checked, instance.WithLog(log), instance.WithPlatform(client.Store(), client.List()))
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	defer signal.Stop(signals)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,9 +16,9 @@
 
 	"anviltack/core"
 	"anviltack/core/patch"
+	"anviltack/io/consul"
 	"anviltack/io/endpoint"
 	"anviltack/io/peer"
-	"anviltack/io/platform"
 	"anviltack/settings"
 )
 
@@ -35,8 +35,8 @@
 	sessions   *sessions
 	retries    *retries
 	watch      Watch
-	platform   platform.Platform
-	list       platform.List
+	platform   consul.Store
+	list       consul.List
 	peers      *peer.Client
 	// lenders carries asks for slots, which may wait at their owner.
 	lenders *peer.Client
@@ -67,7 +67,7 @@
 
 // WithPlatform makes the instance take its configuration from the platform and
 // its peers, and stand on the platform's list.
-func WithPlatform(p platform.Platform, l platform.List) Option {
+func WithPlatform(p consul.Store, l consul.List) Option {
 	return func(in *Instance) { in.platform, in.list = p, l }
 }
 
--- a/instance/server.go
+++ b/instance/server.go
@@ -11,8 +11,8 @@
 
 	"anviltack/core/member"
 	"anviltack/core/patch"
+	"anviltack/io/consul"
 	"anviltack/io/operator"
-	"anviltack/io/platform"
 )
 
 // Bounds of the HTTP servers.
@@ -98,7 +98,7 @@
 	return version, nil
 }
 
-func submitter(p platform.Platform) patch.Submitter {
+func submitter(p consul.Store) patch.Submitter {
 	return patch.Submitter{
 		Get: func(ctx context.Context) (patch.Stored, error) {
 			e, err := p.Get(ctx, patch.Key)
@@ -106,7 +106,7 @@
 		},
 		Swap: func(ctx context.Context, index uint64, value []byte) (bool, error) {
 			won, err := p.Swap(ctx, patch.Key, index, value)
-			if err != nil && !platform.IsUnknown(err) {
+			if err != nil && !consul.IsUnknown(err) {
 				return false, nil
 			}
 			return won, err
--- a/io/platform/call.go
+++ b/io/consul/call.go
@@ -1,4 +1,4 @@
-package platform
+package consul
 
 import (
 	"bytes"
--- a/io/platform/platform.go
+++ b/io/consul/consul.go
@@ -1,6 +1,6 @@
-// Package platform speaks to the platform's key-value service and its list of
+// Package consul speaks to the platform's key-value service and its list of
 // instances by the published HTTP API of Consul.
-package platform
+package consul
 
 import (
 	"context"
@@ -24,8 +24,8 @@
 	Next uint64
 }
 
-// Platform is the key-value service. Another service means another constructor.
-type Platform struct {
+// Store is the key-value service. Another service means another constructor.
+type Store struct {
 	// Get reads a key; an absent key is an Entry with index zero.
 	Get func(ctx context.Context, key string) (Entry, error)
 	// Swap replaces a value whose index is still the one given; index zero only
@@ -74,7 +74,7 @@
 
 // Error returns the call, its outcome and the cause.
 func (e *Error) Error() string {
-	return fmt.Sprintf("platform: %s failed, outcome %s: %v", e.Call, e.Outcome, e.Err)
+	return fmt.Sprintf("consul: %s failed, outcome %s: %v", e.Call, e.Outcome, e.Err)
 }
 
 // Unwrap returns the cause.
@@ -129,9 +129,9 @@
 	return c
 }
 
-// Platform returns the key-value service.
-func (c *Client) Platform() Platform {
-	return Platform{Get: c.get, Swap: c.swap, Watch: c.watch}
+// Store returns the key-value service.
+func (c *Client) Store() Store {
+	return Store{Get: c.get, Swap: c.swap, Watch: c.watch}
 }
 
 // List returns the list of instances.
--- a/io/platform/platform_test.go
+++ b/io/consul/consul_test.go
@@ -1,4 +1,4 @@
-package platform
+package consul
 
 import (
 	"context"
@@ -100,7 +100,7 @@
 func TestStore(t *testing.T) {
 	is := is.New(t)
 	f := &fake{}
-	p := New([]netip.AddrPort{closedAddress(), serve(t, f)}).Platform()
+	p := New([]netip.AddrPort{closedAddress(), serve(t, f)}).Store()
 	ctx := context.Background()
 	e, err := p.Get(ctx, "k")
 	is.NoErr(err)
@@ -123,14 +123,14 @@
 	ctx := context.Background()
 	t.Run("refused connection", func(t *testing.T) {
 		is := is.New(t)
-		_, err := New([]netip.AddrPort{closedAddress()}).Platform().Swap(ctx, "k", 0, nil)
+		_, err := New([]netip.AddrPort{closedAddress()}).Store().Swap(ctx, "k", 0, nil)
 		is.True(err != nil)
 		is.True(!IsUnknown(err))
 	})
 	t.Run("lost answer", func(t *testing.T) {
 		is := is.New(t)
 		f, other := &fake{lose: true}, &fake{}
-		p := New([]netip.AddrPort{serve(t, f), serve(t, other)}).Platform()
+		p := New([]netip.AddrPort{serve(t, f), serve(t, other)}).Store()
 		_, err := p.Swap(ctx, "k", 0, []byte("one"))
 		is.True(IsUnknown(err))
 		is.Equal(f.stored(), "one")
@@ -143,13 +143,13 @@
 		defer s.Close()
 		defer close(stop)
 		a := netip.MustParseAddrPort(s.Listener.Addr().String())
-		_, err := New([]netip.AddrPort{a}, WithTimeout(20*time.Millisecond)).Platform().Swap(ctx, "k", 0, nil)
+		_, err := New([]netip.AddrPort{a}, WithTimeout(20*time.Millisecond)).Store().Swap(ctx, "k", 0, nil)
 		is.True(IsUnknown(err))
 	})
 	for status, unknown := range map[int]bool{500: true, 503: true, 400: false, 403: false, 404: false} {
 		t.Run(fmt.Sprint(status), func(t *testing.T) {
 			is := is.New(t)
-			_, err := New([]netip.AddrPort{serve(t, &fake{status: status})}).Platform().Swap(ctx, "k", 0, nil)
+			_, err := New([]netip.AddrPort{serve(t, &fake{status: status})}).Store().Swap(ctx, "k", 0, nil)
 			is.True(err != nil)
 			is.Equal(IsUnknown(err), unknown)
 		})
--- a/io/platform/list.go
+++ b/io/consul/list.go
@@ -1,4 +1,4 @@
-package platform
+package consul
 
 import (
 	"context"
@@ -37,7 +37,7 @@
 		Meta: map[string]string{metaCentre: string(l.DataCentre), metaState: state},
 	})
 	if err != nil {
-		return fmt.Errorf("platform: cannot encode a listing: %w", err)
+		return fmt.Errorf("consul: cannot encode a listing: %w", err)
 	}
 	return c.put(ctx, "register", "/v1/agent/service/register", body, nil)
 }
