--- a/proxy/control.go
+++ b/proxy/control.go
@@ -229,6 +229,7 @@
 	}
 	c.findHomes(config)
 	view := make(map[core.Group]*group, len(config.Groups))
+	endpoints := 0
 	now := c.proxy.now()
 	c.lent, c.lookedAt = false, now
 	for name, settings := range config.Groups {
@@ -240,6 +241,7 @@
 			g = newGroupControl(c, name)
 			c.groups[name] = g
 		}
+		endpoints += len(members[name])
 		g.configure(now, members[name], settings, c.homes[name])
 		view[name] = g.group
 	}
@@ -250,6 +252,7 @@
 		}
 	}
 	c.proxy.groups.Store(&view)
+	c.proxy.endpoints.Store(int64(endpoints))
 	if len(c.listed) > 0 {
 		c.proxy.arranged.Store(true)
 	}
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -283,11 +283,20 @@
 func (e *endpoint) noteFullLocked(now time.Time, err error) {
 	var fault *EndpointError
 	if errors.As(err, &fault) && fault.Fault == FaultConnections {
-		e.fullUntil = now.Add(fullPause)
+		e.fullUntil = now.Add(e.group.control.proxy.fullPause())
 		e.reopenAt = e.fullUntil
 	}
 }
 
+// attemptPause is the pause between attempts at full endpoints for each endpoint that
+// the instance connects to, which bounds the attempts to 100 a second together.
+const attemptPause = 10 * time.Millisecond
+
+// fullPause returns how long no connection is asked for at a full endpoint.
+func (p *Proxy) fullPause() time.Duration {
+	return max(fullPause, time.Duration(p.endpoints.Load())*attemptPause)
+}
+
 // spare takes an idle connection, or makes room for a new one and returns nil.
 // With fresh set the idle connections are closed: the last question got no answer.
 func (e *endpoint) spare(fresh bool) (*link, error) {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -50,11 +50,15 @@
 	groups  atomic.Pointer[map[core.Group]*group]
 	// homes tells where the sessions of groups are served that this instance does
 	// not connect to.
-	homes   atomic.Pointer[map[core.Group][]Peer]
-	floor   floor
-	avoid   avoided
-	control *control
-	drainer *drainer
+	homes atomic.Pointer[map[core.Group][]Peer]
+	// floor is the configuration's version that statements wait for, and avoid the
+	// homes that took no session lately.
+	floor floor
+	avoid avoided
+	// endpoints counts those that this instance connects to.
+	endpoints atomic.Int64
+	control   *control
+	drainer   *drainer
 	// isolated tells that no group can be reached.
 	isolated atomic.Bool
 	// arranged tells that configuration, instances and endpoints are known.
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 
+	"anviltack/clock"
 	"anviltack/core"
 )
 
@@ -164,3 +166,28 @@
 	defer w.mu.Unlock()
 	is.Equal(w.fakes[0].last.Position, uint64(20))
 }
+
+// TestRecover serves from nothing kept: an instance that takes the place of one which
+// lost power reads what that one acknowledged, and writes, while the endpoints'
+// directory, the configuration and the last turn are all it has.
+func TestRecover(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(nil)
+	w.run()
+	before := w.open("before", "newest")
+	is.NoErr(before.send(Statement{ID: "1", Kind: KindWrite}).Err)
+	w.mu.Lock()
+	w.turn = Item{Revision: 3, Value: "i9 abc"} // nobody told whether it is over
+	w.peers = []Peer{{Name: "i2"}}
+	w.mu.Unlock()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w.proxy = New(Settings{Instance: "i2", DataCentre: "dc1", Grace: 6 * time.Second}, w.seams(clock.Now), log.WithField("instance", "i2"))
+	w.run()
+	after := w.open("after", "newest")
+	a := after.send(Statement{ID: "2", Kind: KindRead})
+	is.NoErr(a.Err)
+	is.Equal(a.Rows, []string{"p at 1.11 map[]"})
+	is.NoErr(after.send(Statement{ID: "3", Kind: KindWrite}).Err)
+}
