Order everything read from the store by its era

Cause: a store that is restored from an older copy gives out revisions and lease IDs again. Fencing tokens, the promotion lease, the entries of endpoints and instances and the watch compared bare numbers, so two holders could promote with one token, a lease that the copy lacks was not waited for, and rewritten entries were ignored. Nothing registered again before the next renewal.

A change that was prepared in an earlier era is not sent, and one whose answer is of a later era has failed. Tokens carry the era in their upper bits. Lease values carry the era in which they were written; in a new era every instance waits until the old leases have expired, and one then records that, so later starts need not wait.

Ruled out: a key per era (leaves keys behind with each restore); waiting from the notice of the era alone (a late request of the earlier era may still replace the value); ordering by revision within a copy (the copy has none of its own).

--- a/core/event.go
+++ b/core/event.go
@@ -26,4 +26,5 @@
 	EventTurn          Event = 503
 	EventIsolated      Event = 504
 	EventRelay         Event = 505
+	EventRestored      Event = 506
 )
--- a/core/group/lease_simulation_test.go
+++ b/core/group/lease_simulation_test.go
@@ -52,7 +52,7 @@
 	*Machine
 	name        core.Instance
 	lease       lease.Lease
-	token       uint64
+	acquired    core.Revision
 	requestedAt time.Time
 	paused      bool
 	deferred    []func()
@@ -81,24 +81,35 @@
 	at        time.Time
 }
 
+// leaseState is what the store held of the lease from a time on.
+type leaseState struct {
+	since  time.Time
+	number uint64
+	value  string
+}
+
 // leaseSimulation is a group whose promotions are carried out by a platform, with
 // instances that hold the promotion lease one after another.
 type leaseSimulation struct {
-	random     *rand.Rand
-	now        time.Time
-	queue      events
-	number     int
-	endpoints  []*leaseEndpoint
-	instances  []*leaseInstance
-	revision   uint64
-	value      string
+	random    *rand.Rand
+	now       time.Time
+	queue     events
+	number    int
+	endpoints []*leaseEndpoint
+	instances []*leaseInstance
+	revision  core.Revision
+	value     string
+	// states are the earlier states of the lease, of which a restore brings one back.
+	states     []leaseState
 	lastToken  uint64
 	promotions []Failover
 	acked      []leaseAck
 	written    int
 	// volatileFences is true if an endpoint loses its fence when it restarts.
 	volatileFences bool
-	violations     []string
+	// faults is how many kinds of faults are injected.
+	faults     int
+	violations []string
 }
 
 func newLeaseSimulation(seed uint64, instances int) *leaseSimulation {
@@ -119,7 +130,7 @@
 		m := New("g", name, WithPeriods(p), WithExternalTerms(), WithSparseSamples(), WithVolatileFences(lease.ExpireAfter), WithRandom(rand.New(rand.NewPCG(seed, uint64(i)+2))))
 		m.SetRank(i, 1)
 		inst := &leaseInstance{Machine: m, name: name, connectedAt: map[core.Endpoint]time.Time{}}
-		inst.lease.Observe(epoch, 0, "")
+		inst.lease.Observe(epoch, core.Revision{}, "")
 		sim.instances = append(sim.instances, inst)
 		sim.step(inst, func() []Action { return m.Configure(sim.now, members) })
 		sim.tick(inst)
@@ -300,25 +311,25 @@
 	})
 }
 
-func (sim *leaseSimulation) compareAndSwap(inst *leaseInstance, revision uint64, requestedAt time.Time, fences []Action) {
+func (sim *leaseSimulation) compareAndSwap(inst *leaseInstance, revision core.Revision, requestedAt time.Time, fences []Action) {
 	// The store may apply the change late.
 	late := time.Duration(0)
 	if sim.random.IntN(5) == 0 {
 		late = time.Duration(sim.random.Int64N(int64(3 * time.Second)))
 	}
 	sim.after(sim.delay()+late, func() {
-		swapped := sim.revision == revision
+		// The store compares numbers only, so a late request can succeed in a later era.
+		swapped := sim.revision.Number == revision.Number
 		if swapped {
-			sim.revision++
-			sim.value = string(inst.name)
+			sim.setLease(sim.revision.Number+1, lease.Value{Holder: string(inst.name), Nonce: "1", Era: revision.Era})
 		}
-		token := sim.revision
+		acquired := sim.revision
 		sim.after(sim.delay(), func() {
 			sim.step(inst, func() []Action {
-				if !swapped || sim.now.Sub(requestedAt) >= lease.Duration {
+				if !swapped || acquired.Era != revision.Era || sim.now.Sub(requestedAt) >= lease.Duration {
 					return inst.PostponeFailover(sim.now, 50*time.Millisecond)
 				}
-				inst.token, inst.requestedAt = token, requestedAt
+				inst.acquired, inst.requestedAt = acquired, requestedAt
 				for _, a := range fences {
 					sim.fence(inst, a)
 				}
@@ -349,7 +360,11 @@
 		sim.after(sim.delay(), func() { done(false, core.Status{}) })
 		return
 	}
-	token := inst.token
+	acquired := inst.acquired
+	token, err := acquired.Token()
+	if err != nil {
+		sim.violation("%v", err)
+	}
 	sim.after(sim.delay(), func() {
 		if token < sim.lastToken {
 			sim.violation("token %d after %d", token, sim.lastToken)
@@ -376,7 +391,7 @@
 			}
 			status := e.status()
 			sim.after(sim.delay(), func() {
-				sim.releaseLease(token)
+				sim.releaseLease(inst, acquired)
 				done(true, status)
 			})
 		})
@@ -386,15 +401,34 @@
 
 // releaseLease releases the lease after its promotion took effect; the release may be
 // lost.
-func (sim *leaseSimulation) releaseLease(token uint64) {
+func (sim *leaseSimulation) releaseLease(inst *leaseInstance, acquired core.Revision) {
 	sim.after(sim.delay(), func() {
-		if sim.revision == token && sim.random.IntN(3) > 0 {
-			sim.revision++
-			sim.value = lease.Released(sim.value)
+		if sim.revision.Number == acquired.Number && sim.random.IntN(3) > 0 {
+			sim.setLease(acquired.Number+1, lease.Value{Holder: string(inst.name), Nonce: "1", Era: acquired.Era, Released: true})
 		}
 	})
 }
 
+// setLease replaces the stored lease.
+func (sim *leaseSimulation) setLease(number uint64, v lease.Value) {
+	sim.revision.Number, sim.value = number, v.String()
+	sim.states = append(sim.states, leaseState{sim.now, number, sim.value})
+}
+
+// restoreStore brings back the lease as it was up to five seconds ago, in a new era.
+func (sim *leaseSimulation) restoreStore() {
+	copied := leaseState{}
+	at := sim.now.Add(-time.Duration(sim.random.Int64N(int64(5 * time.Second))))
+	for _, s := range sim.states {
+		if !s.since.After(at) {
+			copied = s
+		}
+	}
+	sim.revision = core.Revision{Era: sim.revision.Era + 1, Number: copied.number}
+	sim.value = copied.value
+	sim.states = append(sim.states, leaseState{sim.now, copied.number, copied.value})
+}
+
 // missing returns the id of a write that was acknowledged before a time and is not in
 // the log, or zero.
 func (sim *leaseSimulation) missing(log []entry, before time.Time) int {
@@ -490,7 +524,7 @@
 	e := sim.endpoints[sim.random.IntN(3)]
 	inst := sim.instances[sim.random.IntN(len(sim.instances))]
 	other := string(sim.endpoints[sim.random.IntN(3)].name)
-	switch sim.random.IntN(10) {
+	switch sim.random.IntN(sim.faults) {
 	case 0:
 		e.dead = true
 	case 1, 2, 3:
@@ -507,9 +541,18 @@
 		inst.paused = true
 	case 9:
 		sim.resumeInstance(inst)
+	case 10:
+		sim.restoreStore()
 	}
 }
 
+// The numbers of kinds of faults that a simulation injects, without and with restores of
+// the store.
+const (
+	faultsWithoutRestore = 10
+	faultsWithRestore    = 11
+)
+
 func (sim *leaseSimulation) resumeInstance(inst *leaseInstance) {
 	deferred := inst.deferred
 	inst.paused, inst.deferred = false, nil
@@ -520,9 +563,9 @@
 
 // checkLeaseSimulation injects random faults into a group and returns the numbers of
 // promotions and acknowledged writes.
-func checkLeaseSimulation(t *rapid.T, volatileFences bool) (promotions, acked int) {
+func checkLeaseSimulation(t *rapid.T, volatileFences bool, faults int) (promotions, acked int) {
 	sim := newLeaseSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 4).Draw(t, "instances"))
-	sim.volatileFences = volatileFences
+	sim.volatileFences, sim.faults = volatileFences, faults
 	sim.load()
 	for range rapid.IntRange(5, 40).Draw(t, "faults") {
 		sim.injectFault()
@@ -542,7 +585,7 @@
 func TestTurnsSafety(t *testing.T) {
 	promotions, acked := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		p, a := checkLeaseSimulation(t, false)
+		p, a := checkLeaseSimulation(t, false, faultsWithoutRestore)
 		promotions, acked = promotions+p, acked+a
 	})
 	t.Logf("%d promotions, %d acknowledged", promotions, acked)
@@ -551,7 +594,13 @@
 // TestTurnsSafetyWithForgottenFences checks the same as TestTurnsSafety where an endpoint
 // loses its fence in a restart.
 func TestTurnsSafetyWithForgottenFences(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { checkLeaseSimulation(t, true) })
+	rapid.Check(t, func(t *rapid.T) { checkLeaseSimulation(t, true, faultsWithoutRestore) })
+}
+
+// TestTurnsSafetyWithRestoredStore checks the same where the store also comes back from
+// older copies.
+func TestTurnsSafetyWithRestoredStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkLeaseSimulation(t, true, faultsWithRestore) })
 }
 
 // TestForgottenFence checks that writes acknowledged between a fence and its promotion
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -8,11 +8,19 @@
 // value has been unchanged for ExpireAfter. Promotions therefore happen in the order
 // of their tokens, even if answers of the store are lost or late, and each has taken
 // effect and is visible to the other instances before the next lease begins.
+//
+// A store that is restored from an older copy forgets leases and gives out their
+// revisions again. Revisions therefore carry the store's era, which makes tokens rise
+// over a restore, and the wait of ExpireAfter starts again with the first read in a new
+// era. Each value carries the era in which it was written, so a value that the copy
+// brought back, or that a request of an earlier era wrote late, shortens no wait. Once
+// the wait is over, an instance records that with a value of the new era.
 package lease
 
 import (
-	"strings"
 	"time"
+
+	"anviltack/core"
 )
 
 const (
@@ -25,44 +33,51 @@
 	ExpireAfter = Duration + time.Second
 )
 
-// releasedSuffix ends the value of a lease that its holder released.
-const releasedSuffix = " over"
-
-// Released returns the value that replaces value once the holder's promotion has
-// taken effect.
-func Released(value string) string { return value + releasedSuffix }
-
 // Lease is the last state of a group's promotion lease that this instance read.
 type Lease struct {
-	revision uint64
-	holder   string
-	// released is true if no promotion under the lease can still take effect.
-	released bool
+	// revision never decreases.
+	revision core.Revision
+	value    Value
 	// observedAt is when the revision was first read.
 	observedAt time.Time
 	observed   bool
 }
 
-// Observe records a read that was answered at now. The value begins with the holder's
-// name; revision zero means that the lease was never acquired.
-func (l *Lease) Observe(now time.Time, revision uint64, value string) {
-	if l.observed && revision <= l.revision {
+// Observe records a read that was answered at now; a revision with the number zero means
+// that the key does not exist.
+func (l *Lease) Observe(now time.Time, revision core.Revision, text string) {
+	if l.observed && revision.Compare(l.revision) <= 0 {
 		return
 	}
-	l.holder, _, _ = strings.Cut(value, " ")
-	l.released = strings.HasSuffix(value, releasedSuffix)
+	l.value = ParseValue(text)
 	l.revision, l.observedAt, l.observed = revision, now, true
 }
 
+// isOfEra reports whether the value was written in the era in which it was read. In any
+// other value nothing is known about the leases of the earlier eras.
+func (l *Lease) isOfEra() bool {
+	if l.revision.Number == 0 {
+		return l.revision.Era == 0
+	}
+	return l.value.Era == l.revision.Era
+}
+
+// isUnheld reports whether the lease was not acquired in this era, nor in an earlier one
+// without having expired.
+func (l *Lease) isUnheld() bool {
+	return l.isOfEra() && (l.revision.Number == 0 || l.value.Holder == "" && l.value.Released)
+}
+
 // AcquireDelay returns how long self must wait before it may acquire the lease. There
 // is no delay if self was the last holder, or an earlier process of the same name,
 // whose lease has ended. A release by another holder does not shorten the delay: the
-// effect of its promotion must become visible first.
+// effect of its promotion must become visible first. In a new era every instance waits
+// until the leases of the earlier era, which the store may have lost, have expired.
 func (l *Lease) AcquireDelay(now time.Time, self string) time.Duration {
 	if !l.observed {
 		return ExpireAfter
 	}
-	if l.revision == 0 || l.holder == self {
+	if l.isUnheld() || l.isOfEra() && l.value.Holder == self {
 		return 0
 	}
 	return max(0, ExpireAfter-now.Sub(l.observedAt))
@@ -70,15 +85,21 @@
 
 // IsInactive reports whether a read that was requested at asOf and returned revision
 // shows that no promotion under a lease acquired by then can still take effect.
-func (l *Lease) IsInactive(revision uint64, asOf time.Time) bool {
+func (l *Lease) IsInactive(revision core.Revision, asOf time.Time) bool {
 	if !l.observed || revision != l.revision {
 		return false
 	}
-	return revision == 0 || l.released || !asOf.Before(l.observedAt.Add(ExpireAfter))
+	return l.isUnheld() || l.isOfEra() && l.value.Released || !asOf.Before(l.observedAt.Add(ExpireAfter))
+}
+
+// LacksEraValue reports whether the leases of the earlier eras have expired at now and
+// nobody has recorded it yet.
+func (l *Lease) LacksEraValue(now time.Time) bool {
+	return l.observed && !l.isOfEra() && now.Sub(l.observedAt) >= ExpireAfter
 }
 
 // Revision returns the revision that the next compare-and-swap must replace.
-func (l *Lease) Revision() uint64 { return l.revision }
+func (l *Lease) Revision() core.Revision { return l.revision }
 
 // Remaining returns how much is left at now of a lease requested at requestedAt.
 func Remaining(now, requestedAt time.Time) time.Duration {
@@ -88,6 +109,6 @@
 // IsIdleSince reports whether a read of the value that returned revision shows that no
 // instance acquired the lease since asOf and none acted under an earlier one after
 // asOf: the value had been unchanged for ExpireAfter at asOf.
-func (l *Lease) IsIdleSince(revision uint64, asOf time.Time) bool {
+func (l *Lease) IsIdleSince(revision core.Revision, asOf time.Time) bool {
 	return l.observed && revision == l.revision && !asOf.Before(l.observedAt.Add(ExpireAfter))
 }
--- a/proxy/control.go
+++ b/proxy/control.go
@@ -40,6 +40,9 @@
 	// unreachableSince is the time since which no group has had a reachable majority;
 	// zero while one has.
 	unreachableSince time.Time
+	// era is the store's newest era that was noted; it is valid if eraKnown is set.
+	era      uint64
+	eraKnown bool
 }
 
 func newControl(p *Proxy) *control {
@@ -72,6 +75,7 @@
 // tick runs the groups that are due and returns the delay until the next tick.
 func (c *control) tick(now time.Time) time.Duration {
 	delay := maxTick
+	c.noteEra()
 	for _, g := range c.groups {
 		if !g.nextTickAt.After(now) {
 			g.tick(now)
--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -110,9 +110,10 @@
 	Watch func(ctx context.Context, offer func(*Config)) error
 }
 
-// VersionedValue is a value in the LeaseStore. Revision is zero if the key has no value.
+// VersionedValue is a value in the LeaseStore. The number of Revision is zero if the key
+// has no value.
 type VersionedValue struct {
-	Revision uint64
+	Revision core.Revision
 	Value    string
 }
 
@@ -120,11 +121,14 @@
 type LeaseStore struct {
 	Get func(ctx context.Context, key string) (VersionedValue, error)
 	// CompareAndSwap replaces the value if it has the given revision and returns the
-	// new revision, or zero if the revision differs. After an error the change may
-	// still take effect.
-	CompareAndSwap func(ctx context.Context, key string, revision uint64, value string) (uint64, error)
+	// new revision, whose number is zero if the revision differs. It is not sent once a
+	// later era than that of the revision is known, and fails if the answer is of a
+	// later era. After an error the change may still take effect.
+	CompareAndSwap func(ctx context.Context, key string, revision core.Revision, value string) (core.Revision, error)
 	// IsHealthy reports whether the last call to the store succeeded.
 	IsHealthy func() bool
+	// Era returns the store's newest known era; known is false before its first answer.
+	Era func() (era uint64, known bool)
 }
 
 // Peer is a live instance.
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -118,6 +118,8 @@
 	// check began.
 	checkingLease  bool
 	leaseCheckedAt time.Time
+	// eraValueSentAt is when recordEra last began.
+	eraValueSentAt time.Time
 	// heldLease is the promotion lease that this instance acquired last.
 	heldLease heldLease
 	// logged are the term and the primary that were logged last.
@@ -246,6 +248,7 @@
 // tick runs periodic work of the group and the timers of the machine.
 func (g *groupControl) tick(now time.Time) {
 	g.updateRank()
+	g.followEra(now)
 	g.confirmWithoutQuorum(now)
 	if g.machine.AwaitsFenceResolution() && now.Sub(g.leaseReadAt) >= leaseReadInterval {
 		g.resolveFences(now)
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -26,6 +26,7 @@
 	eventsDropped   metrics.Counter
 	relayed         metrics.Counter
 	relaysLost      metrics.Counter
+	storeRestores   metrics.Counter
 	readTime        metrics.Histogram
 	writeTime       metrics.Histogram
 	confirmTime     metrics.Histogram
@@ -46,6 +47,7 @@
 		eventsDropped:   metrics.GetOrRegisterCounter("control_events_dropped", r),
 		relayed:         metrics.GetOrRegisterCounter("sessions_relayed", r),
 		relaysLost:      metrics.GetOrRegisterCounter("relayed_statements_lost", r),
+		storeRestores:   metrics.GetOrRegisterCounter("store_restores", r),
 		readTime:        histogram("read_ns"),
 		writeTime:       histogram("write_ns"),
 		confirmTime:     histogram("confirm_ns"),
@@ -163,9 +165,12 @@
 		Instance string
 		Ready    bool
 		Version  uint64
+		// StoreEra is the newest known era of the platform's store.
+		StoreEra uint64
 		Sessions int
 		Groups   []groupDump
 	}{Instance: p.settings.Instance, Ready: p.IsReady(), Sessions: p.sessionCount(), Groups: groups}
+	body.StoreEra, _ = p.dependencies.LeaseStore.Era()
 	if c := p.config.Load(); c != nil {
 		body.Version = c.Version
 	}
--- a/proxy/promote.go
+++ b/proxy/promote.go
@@ -53,10 +53,14 @@
 
 // heldLease is a promotion lease that this instance acquired.
 type heldLease struct {
+	revision core.Revision
+	// token is the fencing token that revision stands for.
 	token uint64
-	// requestedAt is when the lease was requested; the lease ends lease.Duration later.
+	// requestedAt is when the lease was requested; the lease ends lease.Duration later,
+	// whether or not the store is restored in the meantime: nobody acquires the next one
+	// sooner in a new era either.
 	requestedAt time.Time
-	value       string
+	value       lease.Value
 }
 
 // startFailover acquires the group's promotion lease and fences the endpoints under it.
@@ -77,7 +81,7 @@
 func (g *groupControl) acquireAndFence(term uint64, endpoints []*endpoint) {
 	p := g.control.proxy
 	l, err := g.acquireLease()
-	p.event(core.EventTurn).WithField("group", g.group.name).WithField("token", l.token).WithError(err).Info("promotion lease requested")
+	p.event(core.EventTurn).WithField("group", g.group.name).WithField("token", l.token).WithField("revision", l.revision.String()).WithError(err).Info("promotion lease requested")
 	if err != nil {
 		g.control.post(context.Background(), func(now time.Time) { g.perform(now, g.machine.PostponeFailover(now, acquireRetryDelay)) })
 		return
@@ -149,7 +153,8 @@
 func (g *groupControl) releaseLease(l heldLease) {
 	ctx, cancel := context.WithTimeout(context.Background(), lease.Duration)
 	defer cancel()
-	_, err := g.control.proxy.dependencies.LeaseStore.CompareAndSwap(ctx, string(g.group.name), l.token, lease.Released(l.value))
+	l.value.Released = true
+	_, err := g.control.proxy.dependencies.LeaseStore.CompareAndSwap(ctx, string(g.group.name), l.revision, l.value.String())
 	g.control.proxy.event(core.EventTurn).WithField("group", g.group.name).WithField("token", l.token).WithError(err).Info("release of the promotion lease requested")
 }
 
@@ -175,26 +180,33 @@
 	case <-ctx.Done():
 		return heldLease{}, ctx.Err()
 	}
-	l := heldLease{requestedAt: p.now(), value: p.settings.Instance + " " + strconv.FormatUint(rand.Uint64(), 36)}
-	l.token, err = p.dependencies.LeaseStore.CompareAndSwap(ctx, string(g.group.name), stored.Revision, l.value)
+	l := heldLease{
+		requestedAt: p.now(),
+		value:       lease.Value{Holder: p.settings.Instance, Nonce: strconv.FormatUint(rand.Uint64(), 36), Era: stored.Revision.Era},
+	}
+	l.revision, err = p.dependencies.LeaseStore.CompareAndSwap(ctx, string(g.group.name), stored.Revision, l.value.String())
 	if err != nil {
-		l.token, err = g.readAcquired(ctx, l.value)
+		l.revision, err = g.readAcquired(ctx, l.value)
 	}
-	if err == nil && l.token == 0 {
+	if err == nil && l.revision.Number == 0 {
 		err = errLeaseHeld
 	}
+	if err == nil {
+		l.token, err = l.revision.Token()
+	}
 	return l, err
 }
 
 // readAcquired finds out whether a compare-and-swap that returned an error took effect,
-// and returns the fencing token if so.
-func (g *groupControl) readAcquired(ctx context.Context, value string) (uint64, error) {
+// and returns the revision if so. A lease that is found in a later era than it was
+// requested in is not used: when it was acquired is not known.
+func (g *groupControl) readAcquired(ctx context.Context, value lease.Value) (core.Revision, error) {
 	stored, err := g.control.proxy.dependencies.LeaseStore.Get(ctx, string(g.group.name))
 	if err != nil {
-		return 0, fmt.Errorf("proxy: could not read the promotion lease after a failed change: %w", err)
+		return core.Revision{}, fmt.Errorf("proxy: could not read the promotion lease after a failed change: %w", err)
 	}
-	if stored.Value != value {
-		return 0, errLeaseHeld
+	if stored.Value != value.String() || stored.Revision.Era != value.Era {
+		return core.Revision{}, errLeaseHeld
 	}
 	return stored.Revision, nil
 }
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -53,6 +53,13 @@
 		defer s.mu.Unlock()
 		s.storeDown = f[1] == "down"
 		return "store " + f[1]
+	case "restore": // restore VALUE: the store comes back with this lease from a copy
+		s.restoreStore(strings.Join(f[1:], " "))
+		return "restored"
+	case "lease":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.lease.Revision.String() + " " + s.lease.Value
 	case "wait": // wait MILLISECONDS
 		ms, _ := strconv.Atoi(f[1])
 		time.Sleep(time.Duration(ms) * time.Millisecond)
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -103,7 +103,7 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}},
-		LeaseStore: LeaseStore{Get: s.getLease, CompareAndSwap: s.swapLease, IsHealthy: func() bool { return !s.isStoreDown() }},
+		LeaseStore: LeaseStore{Get: s.getLease, CompareAndSwap: s.swapLease, IsHealthy: func() bool { return !s.isStoreDown() }, Era: s.storeEra},
 		Membership: Membership{Maintain: func(ctx context.Context, offer func([]Peer)) error {
 			offer(s.peers)
 			<-ctx.Done()
@@ -142,19 +142,34 @@
 	return s.lease, nil
 }
 
-func (s *simulation) swapLease(_ context.Context, _ string, revision uint64, value string) (uint64, error) {
+func (s *simulation) swapLease(_ context.Context, _ string, revision core.Revision, value string) (core.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.storeDown {
-		return 0, errStoreDown
+		return core.Revision{}, errStoreDown
 	}
 	if revision != s.lease.Revision {
-		return 0, nil
+		return core.Revision{}, nil
 	}
-	s.lease = VersionedValue{Revision: s.lease.Revision + 1, Value: value}
+	s.lease.Revision.Number++
+	s.lease.Value = value
 	return s.lease.Revision, nil
 }
 
+func (s *simulation) storeEra() (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease.Revision.Era, true
+}
+
+// restoreStore brings the store back from a copy that holds a lease of the era before,
+// which another instance has released or never did.
+func (s *simulation) restoreStore(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease = VersionedValue{Revision: core.Revision{Era: s.lease.Revision.Era + 1, Number: 1}, Value: value}
+}
+
 // promote makes an endpoint the primary of the next term with the log that it has.
 func (s *simulation) promote(_ context.Context, _ core.Group, e core.Endpoint, token uint64) error {
 	s.mu.Lock()
--- a/proxy/soak_test.go
+++ b/proxy/soak_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -76,9 +77,12 @@
 // soak is a group of three endpoints with the instances that serve it, and a record of
 // everything that callers were answered.
 type soak struct {
-	mu           sync.Mutex
-	endpoints    []*soakEndpoint
-	leases       map[string]VersionedValue
+	mu        sync.Mutex
+	endpoints []*soakEndpoint
+	leases    map[string]VersionedValue
+	// copiedLeases are the leases in the copy from which the store is restored.
+	copiedLeases map[string]VersionedValue
+	era          uint64
 	storeDown    bool
 	disconnected map[string]bool
 	lastToken    uint64
@@ -145,7 +149,7 @@
 			offer(c)
 			return forever(ctx)
 		}},
-		LeaseStore: LeaseStore{Get: s.getLease, CompareAndSwap: s.swapLease, IsHealthy: func() bool { return true }},
+		LeaseStore: LeaseStore{Get: s.getLease, CompareAndSwap: s.swapLease, IsHealthy: func() bool { return true }, Era: s.storeEra},
 		Membership: Membership{Maintain: func(ctx context.Context, offer func([]Peer)) error {
 			offer(peers)
 			return forever(ctx)
@@ -161,20 +165,41 @@
 	if s.storeDown {
 		return VersionedValue{}, errStoreDown
 	}
-	return s.leases[key], nil
+	return s.storedLease(key), nil
 }
 
-func (s *soak) swapLease(_ context.Context, key string, revision uint64, value string) (uint64, error) {
+func (s *soak) swapLease(_ context.Context, key string, revision core.Revision, value string) (core.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.storeDown {
-		return 0, errStoreDown
+		return core.Revision{}, errStoreDown
 	}
-	if s.leases[key].Revision != revision {
-		return 0, nil
+	stored := s.storedLease(key)
+	if stored.Revision != revision {
+		return core.Revision{}, nil
 	}
-	s.leases[key] = VersionedValue{Revision: revision + 1, Value: value}
-	return revision + 1, nil
+	stored.Revision.Number++
+	s.leases[key] = VersionedValue{Revision: stored.Revision, Value: value}
+	return stored.Revision, nil
+}
+
+// storedLease returns a lease with the era in which it is read; the caller holds the lock.
+func (s *soak) storedLease(key string) VersionedValue {
+	stored := s.leases[key]
+	stored.Revision.Era = s.era
+	return stored
+}
+
+func (s *soak) storeEra() (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era, true
+}
+
+// restoreStore replaces the leases by those of the last fault; the caller holds the lock.
+func (s *soak) restoreStore() {
+	s.era++
+	s.leases = maps.Clone(s.copiedLeases)
 }
 
 // recordViolation records a broken guarantee; the caller holds the lock.
@@ -581,7 +606,7 @@
 		}
 	}
 	chosen := random.IntN(len(s.instances))
-	kind := random.IntN(9)
+	kind := random.IntN(10)
 	s.setFault(kind, e, chosen, true)
 	s.mu.Unlock()
 	time.Sleep(time.Duration(100+random.IntN(2500)) * time.Millisecond)
@@ -611,6 +636,12 @@
 	case 6:
 		s.setDisconnected(e, s.instances[chosen], on)
 		e.loseAnswer = on
+	case 7:
+		if on {
+			s.copiedLeases = maps.Clone(s.leases)
+		} else {
+			s.restoreStore()
+		}
 	default:
 		// Only one instance reaches the endpoint, which receives nothing from another primary.
 		e.notReceiving = on
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -180,7 +180,7 @@
 	before := sim.open("before", "newest")
 	is.NoErr(before.send(Statement{ID: "1", Kind: KindWrite}).Err)
 	sim.mu.Lock()
-	sim.lease = VersionedValue{Revision: 3, Value: "i9 abc"} // not marked as released
+	sim.lease = VersionedValue{Revision: core.Revision{Number: 3}, Value: "i9 abc"} // not marked as released
 	sim.peers = []Peer{{Name: "i2"}}
 	sim.mu.Unlock()
 	log := logrus.New()
