End relayed sessions at once where a home instance reaches no group

Cause: a home instance in a partitioned data centre kept the sessions that others relayed to it for 2.3 s and accepted new ones, so instances there that are home of no group stayed ready and their callers were refused.

Ruled out: more home instances instead, whose collisions cost more elsewhere.

Change: an isolated home instance rejects relayed sessions and ends idle ones at once; the relaying instance tries others, then serves the group itself and finds out that it is isolated too. TestIsolatedHomeServesNoRelayedSessions waits for ever on the code before.

--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -51,7 +51,7 @@
 			d.noTransactions.Store(true)
 		}
 		if age >= readinessDelay {
-			p.endSessions(age >= transactionAge)
+			p.endSessions(age >= transactionAge, anySession)
 		}
 		if age >= readinessDelay && p.sessionCount() == 0 || age >= exitAge {
 			break
@@ -62,22 +62,31 @@
 	end()
 }
 
-// endIdleWhileIsolated ends idle sessions once new ones no longer arrive here, so that
-// their callers connect to an instance that can serve them.
+// endIdleWhileIsolated ends idle sessions, so that their callers connect to an instance
+// that can serve them: those that other instances relay at once, because none relays a new
+// one here, and the others once new ones no longer arrive.
 func (p *Proxy) endIdleWhileIsolated() {
+	if p.drainer.isDraining() {
+		return
+	}
+	p.endSessions(false, func(s *session) bool { return s.caller.Relayed })
 	time.Sleep(readinessDelay)
 	if p.isolated.Load() && !p.drainer.isDraining() {
-		p.endSessions(false)
+		p.endSessions(false, anySession)
 	}
 }
 
-// endSessions ends idle sessions, and also those in a transaction if inTransactions is
-// set.
-func (p *Proxy) endSessions(inTransactions bool) {
+func anySession(*session) bool { return true }
+
+// endSessions ends the chosen sessions that are idle, and also those in a transaction if
+// inTransactions is set.
+func (p *Proxy) endSessions(inTransactions bool, isChosen func(*session) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for s := range p.sessions {
-		s.stop(inTransactions)
+		if isChosen(s) {
+			s.stop(inTransactions)
+		}
 	}
 }
 
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -149,3 +149,28 @@
 	c := sim.open("a", "bounded")
 	is.Equal(asError((<-c.answers).Err).Code, core.CodeNoPrimary)
 }
+
+// TestIsolatedHomeServesNoRelayedSessions checks that a home instance that reaches no group
+// ends relayed sessions at once and accepts no new ones, so that the instances that relay
+// them try another home instance.
+func TestIsolatedHomeServesNoRelayedSessions(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(nil)
+	sim.startAndWait()
+	relayed, local := sim.openRelayed("a", "bounded"), sim.open("b", "bounded")
+	is.NoErr(relayed.send(Statement{ID: "1", Kind: KindRead}).Err)
+	is.NoErr(local.send(Statement{ID: "2", Kind: KindRead}).Err)
+	for _, name := range []core.Endpoint{"p", "r", "s"} {
+		sim.setField(sim.find(name), "dark", "yes")
+	}
+	<-relayed.ended
+	select {
+	case <-local.ended:
+		t.Error("a session of a caller ended with the relayed one")
+	default:
+	}
+	refused := sim.openRelayed("c", "bounded")
+	is.Equal(asError((<-refused.answers).Err).Code, core.CodeNoPrimary)
+	<-local.ended
+}
