Keep an instance isolated while it connects to further groups

Cause: members that were not sampled yet counted as answering, so each group that an instance in a partitioned data centre began to serve, because no home instance answered, ended its isolation for 0.3 to 0.6 s.

Ruled out: ending isolation only on a confirmed primary, which a group without one never has.

Change: once an instance reaches no group, only a majority that has answered since ends that. TestIsolationOutlastsNewGroups fails on the code before.

--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -165,6 +165,18 @@
 	return n >= m.majority() || len(m.members) == 0
 }
 
+// HasAnsweredQuorum reports whether a majority of the members answers and has done so
+// before: members that were not sampled yet do not count.
+func (m *Machine) HasAnsweredQuorum() bool {
+	n := 0
+	for _, e := range m.members {
+		if e.failures == 0 && !e.answeredAt.IsZero() {
+			n++
+		}
+	}
+	return n > 0 && n >= m.majority()
+}
+
 // SampleAll makes a sample of every member due, because another source reported a
 // change.
 func (m *Machine) SampleAll(now time.Time) []Action {
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -23,18 +24,25 @@
 	sim := newSimulation(nil)
 	for n := 20; ; n++ {
 		sim.peers = nil
-		var live []home.Instance
 		for i := 1; i <= n; i++ {
 			p := Peer{Name: core.Instance(fmt.Sprint("i", i)), DataCentre: core.DataCentre(fmt.Sprint("dc", i%3)), SessionAddress: netip.MustParseAddrPort("127.0.0.1:1")}
 			sim.peers = append(sim.peers, p)
-			live = append(live, home.Instance{Name: p.Name, DataCentre: p.DataCentre})
 		}
-		if !slices.Contains(home.Choose("g", live, 20), "i1") {
+		if !sim.isHome("g") {
 			return sim
 		}
 	}
 }
 
+// isHome reports whether the simulation's instance is a home instance of a group.
+func (s *simulation) isHome(g core.Group) bool {
+	var live []home.Instance
+	for _, p := range s.peers {
+		live = append(live, home.Instance{Name: p.Name, DataCentre: p.DataCentre})
+	}
+	return slices.Contains(home.Choose(g, live, 20), "i1")
+}
+
 // startNonHome starts the instance and waits until it has the list of home instances.
 func (s *simulation) startNonHome() {
 	s.start()
@@ -174,3 +182,33 @@
 	is.Equal(asError((<-refused.answers).Err).Code, core.CodeNoPrimary)
 	<-local.ended
 }
+
+// TestIsolationOutlastsNewGroups checks that an isolated instance that connects to one more
+// group, because no home instance of it answers, stays isolated.
+func TestIsolationOutlastsNewGroups(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newNonHomeSimulation()
+	sim.relay = func(Peer) (*Relay, error) { return nil, errNoHome }
+	sim.startNonHome()
+	other := core.Group("h")
+	for sim.isHome(other) {
+		other += "h"
+	}
+	c := testConfig(2)
+	c.Groups[other] = GroupSettings{MaxConnections: 20}
+	r := c.Routes["bounded"]
+	r.Group = other
+	c.Routes["other"] = r
+	sim.offerConfig(c)
+	for _, name := range []core.Endpoint{"p", "r", "s"} {
+		sim.setField(sim.find(name), "dark", "yes")
+	}
+	is.True(sim.open("a", "bounded").send(Statement{ID: "a", Kind: KindRead}).Err != nil)
+	sim.waitFor(func() bool { return !sim.proxy.IsReady() })
+	for n := range 20 {
+		is.True(asError(sim.open(fmt.Sprint("b", n), "other").send(Statement{ID: fmt.Sprint(n), Kind: KindRead}).Err).Code != 0)
+		is.True(!sim.proxy.IsReady())
+		time.Sleep(10 * time.Millisecond)
+	}
+}
