Choose as many home instances as an endpoint has slots

Cause: the number of home instances followed from connections alone: 14 for 3 slots on the co-operative's grown site, 56 for 4 slots on the large one.

Change: as many homes as slots, one for each data centre and three at least, within the connections as before. An instance that is home of no group watches one, which it relays as before, so that it notices a partition by itself.

--- a/proxy/control.go
+++ b/proxy/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"anviltack/core"
@@ -158,7 +159,11 @@
 
 // updateEndpoints applies a new list of the directory.
 func (c *control) updateEndpoints(endpoints []Endpoint) {
+	before := c.slots()
 	c.listedEndpoints = endpoints
+	if !maps.Equal(before, c.slots()) {
+		c.homes = nil
+	}
 	c.reconcileGroups()
 }
 
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -222,7 +222,8 @@
 	}
 }
 
-// computeRank returns this instance's rank among the home instances.
+// computeRank returns this instance's rank among the home instances; others rank after
+// them.
 func (g *groupControl) computeRank() int {
 	hash := func(i core.Instance) uint64 { return xxhash.Sum64String(string(i) + " " + string(g.group.name)) }
 	own := hash(core.Instance(g.control.proxy.settings.Instance))
@@ -232,6 +233,9 @@
 			rank++
 		}
 	}
+	if len(g.homes) > 0 && !slices.Contains(g.homes, core.Instance(g.control.proxy.settings.Instance)) {
+		rank += len(g.homes)
+	}
 	return rank
 }
 
--- a/proxy/home_instances.go
+++ b/proxy/home_instances.go
@@ -88,9 +88,10 @@
 		}
 	}
 	c.homes = make(map[core.Group][]core.Instance, len(config.Groups))
+	slots := c.slots()
 	view := make(map[core.Group][]Peer, len(config.Groups))
 	for name, settings := range config.Groups {
-		c.homes[name] = home.Choose(name, instances, settings.MaxConnections)
+		c.homes[name] = home.Choose(name, instances, home.Limits{Connections: settings.MaxConnections, Slots: slots[name]})
 		for _, i := range c.homes[name] {
 			if p := peers[i]; i != c.self() && p.SessionAddress.IsValid() {
 				view[name] = append(view[name], p)
@@ -98,6 +99,30 @@
 		}
 	}
 	c.proxy.homes.Store(&view)
+	monitored := c.chooseMonitored()
+	c.proxy.monitored.Store(&monitored)
+}
+
+// chooseMonitored returns the group that this instance connects to although it is home of
+// none; empty if it is home of one.
+func (c *control) chooseMonitored() core.Group {
+	var names []core.Group
+	for name, homes := range c.homes {
+		if slices.Contains(homes, c.self()) {
+			return ""
+		}
+		names = append(names, name)
+	}
+	return home.Monitored(c.self(), names)
+}
+
+// slots returns the slots of each group's listed endpoints; the highest where they differ.
+func (c *control) slots() map[core.Group]int {
+	slots := make(map[core.Group]int)
+	for _, e := range c.listedEndpoints {
+		slots[e.Group] = max(slots[e.Group], e.Slots)
+	}
+	return slots
 }
 
 func (c *control) self() core.Instance { return core.Instance(c.proxy.settings.Instance) }
@@ -108,10 +133,11 @@
 const nonHomeRetention = 20 * time.Second
 
 // shouldConnect reports whether this instance connects to the endpoints of a group: it is
-// a home instance, or recently ran statements of the group.
+// a home instance, it is home of no group and needs one to notice that it is isolated, or
+// it recently ran statements of the group.
 func (c *control) shouldConnect(now time.Time, name core.Group) bool {
 	homes := c.homes[name]
-	if len(homes) == 0 || slices.Contains(homes, c.self()) {
+	if len(homes) == 0 || slices.Contains(homes, c.self()) || name == *c.proxy.monitored.Load() {
 		return true
 	}
 	g := c.groups[name]
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -53,6 +53,9 @@
 	// homes are the other home instances of each group, to which sessions of groups
 	// that this instance does not connect to are relayed.
 	homes atomic.Pointer[map[core.Group][]Peer]
+	// monitored is the group that this instance, home of none, connects to and serves
+	// only if no home instance does; empty if there is no such group.
+	monitored atomic.Pointer[core.Group]
 	// minimumVersion is the configuration version that statements wait for, and
 	// avoidedHomes are the home instances that recently did not accept a session.
 	minimumVersion minimumVersion
@@ -92,6 +95,7 @@
 	p.drainer = newDrainer(p)
 	p.groups.Store(&map[core.Group]*group{})
 	p.homes.Store(&map[core.Group][]Peer{})
+	p.monitored.Store(new(core.Group))
 	return p
 }
 
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -30,7 +30,7 @@
 // instance has to serve the session, because it is a home instance or no home instance
 // accepted it.
 func (p *Proxy) relay(caller *Caller, r Route) bool {
-	if (*p.groups.Load())[r.Group] != nil {
+	if (*p.groups.Load())[r.Group] != nil && *p.monitored.Load() != r.Group {
 		return false
 	}
 	for _, peer := range p.relayCandidates(r.Group) {
