Let sessions leave a home instance that does not reach their group

Cause: a home instance refused a group's statements for as long as it reached too few of the group's endpoints, and kept the sessions that others relayed to it; with one home instance in a data centre these are all sessions of the data centre. Isolation, of all groups at once, was the only case it acted on.

Ruled out: ending callers' own sessions as well, which would come back to the same instance while it is in rotation.

Change: whether a group is reached is noted for each group; relayed sessions of a lost one end at once and none is accepted, and the home instance itself relays new sessions to another one. Home instances are avoided for one group, not for all. TestLostGroupIsRelayed, TestLostHomeServesNoRelayedSessions.

--- a/proxy/control.go
+++ b/proxy/control.go
@@ -103,13 +103,9 @@
 func (c *control) updateIsolation(now time.Time) {
 	reachable := len(c.groups) == 0
 	for _, g := range c.groups {
-		hasQuorum := g.machine.HasQuorum()
-		if !c.unreachableSince.IsZero() {
-			// A group that was added since must not end the isolation unsampled.
-			hasQuorum = g.machine.HasAnsweredQuorum()
-		}
-		confirmedWithoutQuorum := g.machine.IsPrimaryWithoutQuorum() && now.Sub(g.machine.Confirmed().AsOf) < 2*leaseCheckInterval
-		reachable = reachable || confirmedWithoutQuorum || hasQuorum
+		g.updateLost(now)
+		// A group that was added since must not end the isolation unsampled.
+		reachable = reachable || g.isReached(now, !c.unreachableSince.IsZero())
 	}
 	if reachable {
 		c.unreachableSince = time.Time{}
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -62,14 +62,9 @@
 	end()
 }
 
-// endIdleWhileIsolated ends idle sessions, so that their callers connect to an instance
-// that can serve them: those that other instances relay at once, because none relays a new
-// one here, and the others once new ones no longer arrive.
+// endIdleWhileIsolated ends idle sessions once new ones no longer arrive here, so that
+// their callers connect to an instance that can serve them.
 func (p *Proxy) endIdleWhileIsolated() {
-	if p.drainer.isDraining() {
-		return
-	}
-	p.endSessions(false, func(s *session) bool { return s.caller.Relayed })
 	time.Sleep(readinessDelay)
 	if p.isolated.Load() && !p.drainer.isDraining() {
 		p.endSessions(false, anySession)
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -58,6 +58,8 @@
 	state atomic.Pointer[groupState]
 	// waitingForPrimary counts the statements that wait for a primary.
 	waitingForPrimary atomic.Int64
+	// lost is true while this instance does not reach enough endpoints to serve the group.
+	lost atomic.Bool
 	// lastUsedAt is when a statement last used the group, in nanoseconds since 1970.
 	lastUsedAt   atomic.Int64
 	groupControl *groupControl
@@ -118,6 +120,8 @@
 	// check began.
 	checkingLease  bool
 	leaseCheckedAt time.Time
+	// lostSince is when the group was first found not reached; zero while it is.
+	lostSince time.Time
 	// eraValueSentAt is when recordEra last began.
 	eraValueSentAt time.Time
 	// heldLease is the promotion lease that this instance acquired last.
@@ -260,6 +264,43 @@
 	g.perform(now, g.machine.Tick(now))
 }
 
+// isReached reports whether a majority of the endpoints answers, or the primary alone is
+// known not to have been replaced. If proven is set, endpoints that were not sampled yet do
+// not count.
+func (g *groupControl) isReached(now time.Time, proven bool) bool {
+	if g.machine.IsPrimaryWithoutQuorum() && now.Sub(g.machine.Confirmed().AsOf) < 2*leaseCheckInterval {
+		return true
+	}
+	if proven {
+		return g.machine.HasAnsweredQuorum()
+	}
+	return g.machine.HasQuorum()
+}
+
+// updateLost updates whether the group is lost here. Other home instances may still reach
+// it, so the sessions that are relayed here end.
+func (g *groupControl) updateLost(now time.Time) {
+	reached := g.isReached(now, !g.lostSince.IsZero())
+	if reached {
+		g.lostSince = time.Time{}
+	} else if g.lostSince.IsZero() {
+		g.lostSince = now
+	}
+	lost := !reached && now.Sub(g.lostSince) >= isolationDelay
+	if lost == g.group.lost.Load() {
+		return
+	}
+	g.group.lost.Store(lost)
+	p := g.control.proxy
+	p.event(core.EventIsolated).WithField("group", g.group.name).WithField("lost", lost).Info("reach of a group changed")
+	if lost {
+		go p.endSessions(false, func(s *session) bool {
+			r, err := p.route(s.caller.Database)
+			return s.caller.Relayed && err == nil && r.Group == g.group.name
+		})
+	}
+}
+
 // perform carries out actions of the machine and updates the state.
 func (g *groupControl) perform(now time.Time, actions []failover.Action) {
 	var fences []*endpoint
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -27,20 +28,21 @@
 }
 
 // relay relays a session to a home instance of its group. It reports false if this
-// instance has to serve the session, because it is a home instance or no home instance
-// accepted it.
+// instance has to serve the session, because it is a home instance that reaches the group
+// or no other one accepted it.
 func (p *Proxy) relay(caller *Caller, r Route) bool {
-	if (*p.groups.Load())[r.Group] != nil && *p.monitored.Load() != r.Group {
+	isServed := (*p.groups.Load())[r.Group] != nil && *p.monitored.Load() != r.Group
+	if isServed && (!p.isLost(r.Group) || p.isolated.Load()) {
 		return false
 	}
 	for _, peer := range p.relayCandidates(r.Group) {
 		relay, err := p.openRelay(caller, peer, r.Timeout)
 		if err != nil {
-			p.avoidedHomes.add(peer.Name, p.now().Add(avoidDuration))
+			p.avoidHome(r.Group, peer.Name)
 			p.event(core.EventRelay).WithField("group", r.Group).WithField("home", peer.Name).WithError(err).Warn("home instance of the group did not accept the session")
 			continue
 		}
-		p.runRelay(caller, peer, relay)
+		p.runRelay(caller, r.Group, peer, relay)
 		return true
 	}
 	return false
@@ -55,7 +57,7 @@
 
 // runRelay forwards messages between the caller and the home instance until the
 // session ends.
-func (p *Proxy) runRelay(caller *Caller, to Peer, r *Relay) {
+func (p *Proxy) runRelay(caller *Caller, g core.Group, to Peer, r *Relay) {
 	s := &session{proxy: p, caller: caller, relay: r}
 	p.addSession(s)
 	defer p.removeSession(s)
@@ -64,7 +66,7 @@
 		return
 	}
 	if lost := r.Run(); lost != "" {
-		p.avoidedHomes.add(to.Name, p.now().Add(avoidDuration))
+		p.avoidHome(g, to.Name)
 		p.counts.relaysLost.Inc(1)
 		p.event(core.EventRelay).WithField("id", lost).WithField("database", caller.Database).WithField("home", to.Name).Warn("home instance did not answer a relayed statement")
 	}
@@ -77,7 +79,7 @@
 	now := p.now()
 	for _, h := range (*p.homes.Load())[g] {
 		switch {
-		case p.avoidedHomes.has(h.Name, now):
+		case p.avoidedHomes.has(g, h.Name, now):
 		case string(h.DataCentre) == p.settings.DataCentre:
 			near = append(near, h)
 		default:
@@ -111,23 +113,45 @@
 	return (*p.groups.Load())[name]
 }
 
-// avoidedInstances holds the instances that recently did not accept a session.
+// avoidHome relays no session of a group to an instance for avoidDuration.
+func (p *Proxy) avoidHome(g core.Group, i core.Instance) {
+	now := p.now()
+	p.avoidedHomes.add(g, i, now, now.Add(avoidDuration))
+}
+
+// isLost reports whether this instance connects to a group and does not reach enough of
+// its endpoints.
+func (p *Proxy) isLost(name core.Group) bool {
+	g := (*p.groups.Load())[name]
+	return g != nil && g.lost.Load()
+}
+
+// avoidedInstances holds the home instances of groups that recently did not accept a
+// session.
 type avoidedInstances struct {
 	mu    sync.Mutex
-	until map[core.Instance]time.Time
+	until map[avoidedInstance]time.Time
+}
+
+// avoidedInstance is a home instance of a group.
+type avoidedInstance struct {
+	group    core.Group
+	instance core.Instance
 }
 
-func (a *avoidedInstances) add(i core.Instance, until time.Time) {
+// add avoids an instance until a time, and forgets those that are avoided no longer.
+func (a *avoidedInstances) add(g core.Group, i core.Instance, now, until time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	maps.DeleteFunc(a.until, func(_ avoidedInstance, until time.Time) bool { return !now.Before(until) })
 	if a.until == nil {
-		a.until = make(map[core.Instance]time.Time)
+		a.until = make(map[avoidedInstance]time.Time)
 	}
-	a.until[i] = until
+	a.until[avoidedInstance{g, i}] = until
 }
 
-func (a *avoidedInstances) has(i core.Instance, now time.Time) bool {
+func (a *avoidedInstances) has(g core.Group, i core.Instance, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return now.Before(a.until[i])
+	return now.Before(a.until[avoidedInstance{g, i}])
 }
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -186,10 +186,35 @@
 	is.Equal(asError((<-c.answers).Err).Code, core.CodeNoPrimary)
 }
 
-// TestIsolatedHomeServesNoRelayedSessions checks that a home instance that reaches no group
-// ends relayed sessions at once and accepts no new ones, so that the instances that relay
-// them try another home instance.
-func TestIsolatedHomeServesNoRelayedSessions(t *testing.T) {
+// TestLostGroupIsRelayed checks that a home instance that does not reach its group while it
+// reaches another one relays new sessions to another home instance.
+func TestLostGroupIsRelayed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(nil)
+	sim.peers = []Peer{{Name: "i1", SessionAddress: netip.MustParseAddrPort("127.0.0.1:1")}, {Name: "i2", SessionAddress: netip.MustParseAddrPort("127.0.0.1:2")}}
+	sim.otherGroups = []core.Group{"other"}
+	relayed := make(chan Peer, 1)
+	sim.relay = func(to Peer) (*Relay, error) {
+		relayed <- to
+		return &Relay{Run: func() string { return "" }, Stop: func(bool) {}}, nil
+	}
+	sim.startAndWait()
+	sim.setField(sim.find("r"), "dark", "yes")
+	sim.setField(sim.find("p"), "dark", "yes")
+	sim.waitFor(func() bool { return sim.proxy.isLost("g") })
+	is.True(sim.proxy.IsReady())
+	<-sim.open("a", "bounded").ended
+	is.Equal((<-relayed).Name, core.Instance("i2"))
+	sim.setField(sim.find("r"), "dark", "no")
+	sim.waitFor(func() bool { return !sim.proxy.isLost("g") })
+	is.NoErr(sim.open("b", "bounded").send(Statement{ID: "1", Kind: KindRead}).Err)
+}
+
+// TestLostHomeServesNoRelayedSessions checks that a home instance that does not reach a
+// group ends sessions of it that others relay at once and accepts no new ones, so that
+// those instances try another home instance.
+func TestLostHomeServesNoRelayedSessions(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
 	sim := newSimulation(nil)
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -67,8 +67,8 @@
 	if err == nil && caller.Relayed && p.drainer.isDraining() {
 		err = core.NewError(core.CodeDraining, "the instance is shutting down")
 	}
-	if err == nil && caller.Relayed && p.isolated.Load() {
-		err = core.NewError(core.CodeNoPrimary, "the instance reaches no group").WithRetry(defaultRetryAfter)
+	if err == nil && caller.Relayed && p.isLost(r.Group) {
+		err = core.NewError(core.CodeNoPrimary, "the instance does not reach group %s", r.Group).WithRetry(defaultRetryAfter)
 	}
 	if err == nil && !p.initialized.Load() {
 		err = core.NewError(core.CodeNoPrimary, "the endpoints are not known yet").WithRetry(defaultRetryAfter)
