Bound how many groups an instance is home of

Ruled out: an equal share without slack, which moves 42 of 108 homes when one instance leaves; twice the share, which still gives three groups to some.

Change: groups are assigned in the order of their names, and an instance with one and a half times its share, two at least, comes last in its data centre.

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -7,6 +7,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +24,11 @@
 	// minHomes is how many home instances a group has at least, so that the loss of any
 	// two leaves one.
 	minHomes = 3
+	// shareSlack is how many times an equal share of the groups an instance may have; less
+	// would move more homes with each change of the instances.
+	shareSlack = 1.5
+	// minShare is how many groups every instance may have.
+	minShare = 2
 )
 
 // Instance is a live instance.
@@ -55,29 +62,70 @@
 	return min(n, instances)
 }
 
-// Choose returns the home instances of a group in order of preference. They alternate
-// between the data centres, so that each has one if there are enough, and few of them
-// change when an instance joins or leaves.
-func Choose(g core.Group, live []Instance, l Limits) []core.Instance {
-	ranked := slices.Clone(live)
-	slices.SortFunc(ranked, func(a, b Instance) int {
-		return cmp.Or(cmp.Compare(weight(g, a.Name), weight(g, b.Name)), cmp.Compare(a.Name, b.Name))
+// Assign returns the home instances of each group in order of preference. They alternate
+// between the data centres, so that each has one if there are enough. No instance is home
+// of more than shareSlack times its share of the groups as long as others of its data
+// centre are below that, and few homes change when an instance joins or leaves.
+func Assign(groups map[core.Group]Limits, live []Instance) map[core.Group][]core.Instance {
+	dataCentres := make(map[core.DataCentre]bool)
+	for _, i := range live {
+		dataCentres[i.DataCentre] = true
+	}
+	total := 0
+	for _, l := range groups {
+		total += Count(l, len(dataCentres), len(live))
+	}
+	share := max(minShare, int(math.Ceil(shareSlack*float64(total)/float64(max(1, len(live))))))
+	homes := make(map[core.Group][]core.Instance, len(groups))
+	assigned := make(map[core.Instance]int, len(live))
+	for _, g := range slices.Sorted(maps.Keys(groups)) {
+		homes[g] = choose(g, live, Count(groups[g], len(dataCentres), len(live)), func(i core.Instance) bool { return assigned[i] >= share })
+		for _, i := range homes[g] {
+			assigned[i]++
+		}
+	}
+	return homes
+}
+
+// choose returns n home instances of a group, those that are full last in their data
+// centre.
+func choose(g core.Group, live []Instance, n int, isFull func(core.Instance) bool) []core.Instance {
+	ranked := make([]rankedInstance, 0, len(live))
+	for _, i := range live {
+		ranked = append(ranked, rankedInstance{Instance: i, full: isFull(i.Name), weight: weight(g, i.Name)})
+	}
+	slices.SortFunc(ranked, func(a, b rankedInstance) int {
+		if a.full != b.full {
+			if a.full {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.Name, b.Name))
 	})
-	// rankInDataCentre counts the instances of the same data centre that come before.
-	rankInDataCentre := make(map[core.Instance]int, len(ranked))
 	instancesIn := make(map[core.DataCentre]int)
-	for _, i := range ranked {
-		rankInDataCentre[i.Name] = instancesIn[i.DataCentre]
+	for k := range ranked {
+		i := &ranked[k]
+		i.rankInDataCentre = instancesIn[i.DataCentre]
 		instancesIn[i.DataCentre]++
 	}
-	slices.SortStableFunc(ranked, func(a, b Instance) int { return cmp.Compare(rankInDataCentre[a.Name], rankInDataCentre[b.Name]) })
-	homes := make([]core.Instance, 0, len(ranked))
-	for _, i := range ranked[:Count(l, len(instancesIn), len(ranked))] {
+	slices.SortStableFunc(ranked, func(a, b rankedInstance) int { return cmp.Compare(a.rankInDataCentre, b.rankInDataCentre) })
+	homes := make([]core.Instance, 0, n)
+	for _, i := range ranked[:n] {
 		homes = append(homes, i.Name)
 	}
 	return homes
 }
 
+// rankedInstance is an instance in the order of preference for a group.
+type rankedInstance struct {
+	Instance
+	full   bool
+	weight uint64
+	// rankInDataCentre counts the instances of the same data centre that come before.
+	rankInDataCentre int
+}
+
 // Monitored returns the group that an instance without a group of its own watches; such
 // instances are spread over the groups. It is empty if there are no groups.
 func Monitored(i core.Instance, groups []core.Group) core.Group {
--- a/proxy/home_instances.go
+++ b/proxy/home_instances.go
@@ -87,12 +87,15 @@
 			instances = append(instances, home.Instance{Name: p.Name, DataCentre: p.DataCentre})
 		}
 	}
-	c.homes = make(map[core.Group][]core.Instance, len(config.Groups))
 	slots := c.slots()
-	view := make(map[core.Group][]Peer, len(config.Groups))
+	limits := make(map[core.Group]home.Limits, len(config.Groups))
 	for name, settings := range config.Groups {
-		c.homes[name] = home.Choose(name, instances, home.Limits{Connections: settings.MaxConnections, Slots: slots[name]})
-		for _, i := range c.homes[name] {
+		limits[name] = home.Limits{Connections: settings.MaxConnections, Slots: slots[name]}
+	}
+	c.homes = home.Assign(limits, instances)
+	view := make(map[core.Group][]Peer, len(config.Groups))
+	for name, homes := range c.homes {
+		for _, i := range homes {
 			if p := peers[i]; i != c.self() && p.SessionAddress.IsValid() {
 				view[name] = append(view[name], p)
 			}
