Count no unsampled group as reached once one is lost

Cause: an instance in a partitioned data centre begins to serve one group after the other, as no home instance answers, and each counted as reached until its first samples had failed.

Ruled out: followers, which the same windows pointed at; the time of isolation differs without them too, by when sessions arrive.

Change: once a group is lost, only groups that have answered count. TestIsolationOutlastsNewGroups now begins with such groups and waits for ever on the code before.

--- a/proxy/control.go
+++ b/proxy/control.go
@@ -101,11 +101,15 @@
 // updateIsolation updates whether the instance is isolated: while it reaches no group,
 // callers should use another instance.
 func (c *control) updateIsolation(now time.Time) {
-	reachable := len(c.groups) == 0
+	anyLost := false
 	for _, g := range c.groups {
 		g.updateLost(now)
-		// A group that was added since must not end the isolation unsampled.
-		reachable = reachable || g.isReached(now, !c.unreachableSince.IsZero())
+		anyLost = anyLost || g.group.lost.Load()
+	}
+	reachable := len(c.groups) == 0
+	for _, g := range c.groups {
+		// Once a group is lost, one that was added since and not sampled yet proves nothing.
+		reachable = reachable || g.isReached(now, anyLost || !c.unreachableSince.IsZero())
 	}
 	if reachable {
 		c.unreachableSince = time.Time{}
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -257,6 +257,10 @@
 	for _, name := range []core.Endpoint{"p", "r", "s"} {
 		sim.setField(sim.find(name), "dark", "yes")
 	}
+	// These sessions come before the instance is isolated.
+	for n := range 3 {
+		is.True(sim.open(fmt.Sprint("a", n), "other").send(Statement{ID: fmt.Sprint("a", n), Kind: KindRead}).Err != nil)
+	}
 	sim.waitFor(func() bool { return !sim.proxy.IsReady() })
 	for n := range 20 {
 		is.True(asError(sim.open(fmt.Sprint("b", n), "other").send(Statement{ID: fmt.Sprint(n), Kind: KindRead}).Err).Code != 0)
