--- a/core/revision.go
+++ b/core/revision.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"fmt"
+	"strconv"
+	"strings"
 )
 
 // Revision identifies a state of a key in the platform's store. The store counts its
@@ -38,5 +40,19 @@
 	return r.Era<<tokenNumberBits | r.Number, nil
 }
 
+// ParseRevision parses the format that String returns.
+func ParseRevision(text string) (Revision, error) {
+	era, number, _ := strings.Cut(text, ".")
+	e, err := strconv.ParseUint(era, 10, 64)
+	if err != nil {
+		return Revision{}, fmt.Errorf("core: %q is not a revision: %w", text, err)
+	}
+	n, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return Revision{}, fmt.Errorf("core: %q is not a revision: %w", text, err)
+	}
+	return Revision{Era: e, Number: n}, nil
+}
+
 // String returns the revision as "era.number" in decimal.
 func (r Revision) String() string { return fmt.Sprintf("%d.%d", r.Era, r.Number) }
