--- a/core/revision_test.go
+++ b/core/revision_test.go
@@ -1,11 +1,28 @@
 package core
 
 import (
+	"cmp"
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
+// TestTokensHaveTheOrderOfRevisions draws two revisions and compares their tokens.
+func TestTokensHaveTheOrderOfRevisions(t *testing.T) {
+	draw := func(t *rapid.T, name string) Revision {
+		return Revision{Era: rapid.Uint64Range(0, 1<<13-1).Draw(t, name+" era"), Number: rapid.Uint64Range(0, 1<<40-1).Draw(t, name+" number")}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := draw(t, "a"), draw(t, "b")
+		tokenA, errA := a.Token()
+		tokenB, errB := b.Token()
+		if errA != nil || errB != nil || cmp.Compare(tokenA, tokenB) != a.Compare(b) {
+			t.Fatalf("%s has token %d (%v), %s has %d (%v)", a, tokenA, errA, b, tokenB, errB)
+		}
+	})
+}
+
 // TestTokensRiseOverEras checks that tokens have the order of their revisions, and that a
 // revision too large for a token gets none.
 func TestTokensRiseOverEras(t *testing.T) {
