Make all instances of a small fleet home instances again

Cause: with as many homes as slots one of the five instances of a small site was home of none, and relayed all its sessions for nothing.

Change: a fleet of up to two instances for each slot, of which each may have a statement in flight, is not divided.

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -50,13 +50,14 @@
 // endpoint's slots do not see one another's statements, so more of them than slots make
 // statements wait at the endpoint where nothing orders them, and keep connections and
 // status samples open that serve nobody. Each data centre has a home if there are enough
-// instances, so that few sessions leave their data centre.
+// instances, so that few sessions leave their data centre. All instances are homes while
+// each may have a statement in flight: then nothing is gained by relaying sessions.
 func Count(l Limits, dataCentres, instances int) int {
 	n := instances
 	if l.Connections > 0 && place.ConnectionShare(l.Connections, instances) < minConnections {
 		n = max(1, l.Connections/minConnections-1)
 	}
-	if l.Slots > 0 {
+	if l.Slots > 0 && instances > place.InFlightPerSlot*l.Slots {
 		n = min(n, max(l.Slots, dataCentres, minHomes))
 	}
 	return min(n, instances)
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -29,6 +29,7 @@
 	is.Equal(Count(Limits{Connections: 240}, 4, 34), 34)
 	is.Equal(Count(Limits{}, 4, 1000), 1000) // no limit
 	is.Equal(Count(Limits{Connections: 22, Slots: 5}, 4, 5), 5)
+	is.Equal(Count(Limits{Connections: 22, Slots: 3}, 4, 5), 5)
 	is.Equal(len(Assign(map[core.Group]Limits{"g": {Connections: 22}}, liveInstances(5, 4))["g"]), 5)
 }
 
@@ -102,7 +103,7 @@
 		{300, 72, 4, Limits{Connections: 66}, 21, 8},
 		{118, 20, 6, Limits{Connections: 173, Slots: 4}, 6, 2},
 		{30, 8, 4, Limits{Connections: 45, Slots: 3}, 4, 2},
-		{5, 3, 4, Limits{Connections: 22, Slots: 3}, 4, 4},
+		{5, 3, 4, Limits{Connections: 22, Slots: 2}, 4, 4},
 	} {
 		t.Run(fmt.Sprint(c.instances), func(t *testing.T) {
 			is := is.New(t)
--- a/core/place/share.go
+++ b/core/place/share.go
@@ -8,14 +8,14 @@
 	return max(1, maxConnections/(max(1, instances)+1))
 }
 
-// inFlightPerSlot is how many statements are sent for each slot of an endpoint: one runs
+// InFlightPerSlot is how many statements are sent for each slot of an endpoint: one runs
 // and one is ready to follow it. More would wait at the endpoint, where the instances
 // can no longer order them.
-const inFlightPerSlot = 2
+const InFlightPerSlot = 2
 
 // MaxInFlight returns how many statements each instance may have in flight to an
 // endpoint, at least one.
 func MaxInFlight(slots, instances int) int {
 	instances = max(1, instances)
-	return max(1, (inFlightPerSlot*slots+instances-1)/instances)
+	return max(1, (InFlightPerSlot*slots+instances-1)/instances)
 }
