Let sessions of a process that has just started wait for the first list of endpoints

Cause: TestMonitoredGroupIsRelayed hung until the package's time limit. The control goroutine stored homes, the monitored group, groups and 'initialized' one after the other, and the directory's first list may come after the configuration: a session that came between was rejected ('the endpoints are not known yet') though the group was listed, so no relay was opened and the test waited for one for ever. Callers meet the same: after a restart of all instances the platform sends them to instances that are not ready.

Ruled out: the test alone. TestSessionWaitsForFirstEndpoints holds the first list back and fails on the code before with that text.

Tests of proxy and platform bound each step, so that one that goes another way fails there.

--- a/proxy/control.go
+++ b/proxy/control.go
@@ -28,6 +28,11 @@
 	// homes are the home instances of each group, computed from livePeers and the
 	// configuration.
 	homes map[core.Group][]core.Instance
+	// homePeers are the other home instances of each group that accept relayed sessions.
+	// A new map replaces it whenever homes are assigned.
+	homePeers map[core.Group][]Peer
+	// monitored is the group that this instance connects to although it is home of none.
+	monitored core.Group
 	// hasNonHomeGroups is true if this instance connects to a group without being a home
 	// instance of it.
 	hasNonHomeGroups bool
@@ -182,7 +187,10 @@
 		}
 	}
 	c.assignHomes(config)
-	view := make(map[core.Group]*group, len(config.Groups))
+	next := &placement{
+		groups: make(map[core.Group]*group, len(config.Groups)), homes: c.homePeers, monitored: c.monitored,
+		complete: len(c.listedEndpoints) > 0 || c.proxy.placement.Load().complete,
+	}
 	endpoints := 0
 	now := c.proxy.now()
 	c.hasNonHomeGroups, c.reconciledAt = false, now
@@ -197,17 +205,14 @@
 		}
 		endpoints += len(members[name])
 		g.configure(now, members[name], settings, c.homes[name])
-		view[name] = g.group
+		next.groups[name] = g.group
 	}
 	for name, g := range c.groups {
-		if _, ok := view[name]; !ok {
+		if _, ok := next.groups[name]; !ok {
 			g.configure(now, nil, GroupSettings{}, nil)
 			delete(c.groups, name)
 		}
 	}
-	c.proxy.groups.Store(&view)
+	c.proxy.placement.Store(next)
 	c.proxy.endpointCount.Store(int64(endpoints))
-	if len(c.listedEndpoints) > 0 {
-		c.proxy.initialized.Store(true)
-	}
 }
--- a/proxy/group_test.go
+++ b/proxy/group_test.go
@@ -16,7 +16,7 @@
 func TestPrimaryCheckWithoutPointIsNoSample(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	old := core.Point{Term: 1, Position: 10}
 	sim.setField(sim.find("r"), "deaf", "yes")
@@ -26,7 +26,7 @@
 	p.last, p.applied = core.Point{Term: 1, Position: 20}, core.Point{Term: 1, Position: 20}
 	sim.mu.Unlock()
 	committed := sim.proxy.now()
-	g := (*sim.proxy.groups.Load())["g"].groupControl
+	g := sim.proxy.placement.Load().groups["g"].groupControl
 	checked := make(chan time.Time)
 	g.control.tryPost(func(now time.Time) {
 		e := g.endpoints["p"]
@@ -36,7 +36,7 @@
 		at, _ := g.tracker.History().FreshAsOf(old)
 		checked <- at
 	})
-	is.True((<-checked).Before(committed))
+	is.True(receive(t, checked, "checked").Before(committed))
 }
 
 // TestRestartedProcessIsNewEndpoint checks that connections and positions of an endpoint
@@ -44,9 +44,9 @@
 func TestRestartedProcessIsNewEndpoint(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
-	find := func() *endpoint { return (*sim.proxy.groups.Load())["g"].state.Load().endpoint("r") }
+	find := func() *endpoint { return sim.proxy.placement.Load().groups["g"].state.Load().endpoint("r") }
 	before := find()
 	sim.mu.Lock()
 	sim.find("r").info.StartedAt = 7
@@ -64,7 +64,7 @@
 func TestEmptyEndpointIsNoSample(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	sim.setField(sim.find("s"), "deaf", "yes")
 	is.NoErr(sim.open("a", "newest").send(Statement{ID: "1", Kind: KindWrite}).Err) // held by p and r
@@ -87,7 +87,7 @@
 func TestLeavingPrimaryIsRelieved(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	sim.mu.Lock()
 	sim.find("p").info.Leaving = true
@@ -128,7 +128,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			sim := newSimulation(nil)
+			sim := newSimulation(t)
 			sim.startAndWait()
 			c := sim.open("a", "newest")
 			sim.promoteExternally("s")
@@ -142,7 +142,7 @@
 func TestLastMarkSurvivesPromotion(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	c := sim.open("a", "session")
 	is.NoErr(c.send(Statement{ID: "1", Kind: KindWrite}).Err)
--- a/proxy/home_instances.go
+++ b/proxy/home_instances.go
@@ -93,17 +93,15 @@
 		limits[name] = home.Limits{Connections: settings.MaxConnections, Slots: slots[name]}
 	}
 	c.homes = home.Assign(limits, instances)
-	view := make(map[core.Group][]Peer, len(config.Groups))
+	c.homePeers = make(map[core.Group][]Peer, len(c.homes))
 	for name, homes := range c.homes {
 		for _, i := range homes {
 			if p := peers[i]; i != c.self() && p.SessionAddress.IsValid() {
-				view[name] = append(view[name], p)
+				c.homePeers[name] = append(c.homePeers[name], p)
 			}
 		}
 	}
-	c.proxy.homes.Store(&view)
-	monitored := c.chooseMonitored()
-	c.proxy.monitored.Store(&monitored)
+	c.monitored = c.chooseMonitored()
 }
 
 // chooseMonitored returns the group that this instance connects to although it is home of
@@ -140,7 +138,7 @@
 // it recently ran statements of the group.
 func (c *control) shouldConnect(now time.Time, name core.Group) bool {
 	homes := c.homes[name]
-	if len(homes) == 0 || slices.Contains(homes, c.self()) || name == *c.proxy.monitored.Load() {
+	if len(homes) == 0 || slices.Contains(homes, c.self()) || name == c.monitored {
 		return true
 	}
 	g := c.groups[name]
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -150,7 +150,7 @@
 // writeDump writes the state of the instance.
 func (p *Proxy) writeDump(w http.ResponseWriter, _ *http.Request) {
 	var groups []groupDump
-	for name, g := range *p.groups.Load() {
+	for name, g := range p.placement.Load().groups {
 		state := g.state.Load()
 		d := groupDump{Group: name, Term: state.term, Open: state.isOpen(), ConfirmedAgeMs: p.ageMs(state.confirmed.AsOf)}
 		if state.primary != nil {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -37,6 +37,21 @@
 	GracePeriod time.Duration
 }
 
+// placement is an immutable snapshot of which groups this instance and others serve.
+type placement struct {
+	// groups are those that this instance connects to.
+	groups map[core.Group]*group
+	// homes are the other home instances of each group, to which sessions of groups
+	// that this instance does not connect to are relayed.
+	homes map[core.Group][]Peer
+	// monitored is the group that this instance, home of none, connects to and serves
+	// only if no home instance does; empty if there is no such group.
+	monitored core.Group
+	// complete is true once the configuration, the instances and the endpoints have been
+	// listed; it stays true.
+	complete bool
+}
+
 // Proxy is one instance.
 type Proxy struct {
 	settings     Settings
@@ -49,13 +64,7 @@
 	requestLogs *rate.Limiter
 	skippedLogs atomic.Int64
 	config      atomic.Pointer[Config]
-	groups      atomic.Pointer[map[core.Group]*group]
-	// homes are the other home instances of each group, to which sessions of groups
-	// that this instance does not connect to are relayed.
-	homes atomic.Pointer[map[core.Group][]Peer]
-	// monitored is the group that this instance, home of none, connects to and serves
-	// only if no home instance does; empty if there is no such group.
-	monitored atomic.Pointer[core.Group]
+	placement   atomic.Pointer[placement]
 	// minimumVersion is the configuration version that statements wait for, and
 	// avoidedHomes are the home instances that recently did not accept a session.
 	minimumVersion minimumVersion
@@ -66,9 +75,6 @@
 	drainer       *drainer
 	// isolated is true while no group can be reached.
 	isolated atomic.Bool
-	// initialized is true once the configuration, the instances and the endpoints have
-	// been listed.
-	initialized atomic.Bool
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
@@ -93,15 +99,13 @@
 	p.counts = newCounts(p.metrics)
 	p.control = newControl(p)
 	p.drainer = newDrainer(p)
-	p.groups.Store(&map[core.Group]*group{})
-	p.homes.Store(&map[core.Group][]Peer{})
-	p.monitored.Store(new(core.Group))
+	p.placement.Store(&placement{})
 	return p
 }
 
 // IsReady reports whether the instance accepts new sessions.
 func (p *Proxy) IsReady() bool {
-	return p.initialized.Load() && !p.drainer.isDraining() && !p.isolated.Load()
+	return p.placement.Load().complete && !p.drainer.isDraining() && !p.isolated.Load()
 }
 
 // Serve runs the instance until ctx ends or until the planned stop that closing stop
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -31,7 +31,8 @@
 // instance has to serve the session, because it is a home instance that reaches the group
 // or no other one accepted it.
 func (p *Proxy) relay(caller *Caller, r Route) bool {
-	isServed := (*p.groups.Load())[r.Group] != nil && *p.monitored.Load() != r.Group
+	placed := p.placement.Load()
+	isServed := placed.groups[r.Group] != nil && placed.monitored != r.Group
 	if isServed && (!p.isLost(r.Group) || p.isolated.Load()) {
 		return false
 	}
@@ -77,7 +78,7 @@
 func (p *Proxy) relayCandidates(g core.Group) []Peer {
 	var near, far []Peer
 	now := p.now()
-	for _, h := range (*p.homes.Load())[g] {
+	for _, h := range p.placement.Load().homes[g] {
 		switch {
 		case p.avoidedHomes.has(g, h.Name, now):
 		case string(h.DataCentre) == p.settings.DataCentre:
@@ -96,7 +97,7 @@
 // groupOf returns a group and starts to serve it if this instance is not a home
 // instance of it. It returns nil if the configuration does not name the group.
 func (p *Proxy) groupOf(name core.Group) *group {
-	if g := (*p.groups.Load())[name]; g != nil {
+	if g := p.placement.Load().groups[name]; g != nil {
 		return g
 	}
 	done := make(chan struct{})
@@ -110,7 +111,7 @@
 	case <-done:
 	case <-ctx.Done():
 	}
-	return (*p.groups.Load())[name]
+	return p.placement.Load().groups[name]
 }
 
 // avoidHome relays no session of a group to an instance for avoidDuration.
@@ -122,7 +123,7 @@
 // isLost reports whether this instance connects to a group and does not reach enough of
 // its endpoints.
 func (p *Proxy) isLost(name core.Group) bool {
-	g := (*p.groups.Load())[name]
+	g := p.placement.Load().groups[name]
 	return g != nil && g.lost.Load()
 }
 
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -20,8 +20,8 @@
 // newNonHomeSimulation returns a simulation whose instance is not a home instance of the group:
 // each endpoint accepts 20 connections, and with that many instances only a few
 // connect to it.
-func newNonHomeSimulation() *simulation {
-	sim := newSimulation(nil)
+func newNonHomeSimulation(t *testing.T) *simulation {
+	sim := newSimulation(t)
 	for n := 20; ; n++ {
 		sim.peers = nil
 		for i := 1; i <= n; i++ {
@@ -56,8 +56,8 @@
 // startNonHome starts the instance and waits until it has the list of home instances.
 func (s *simulation) startNonHome() {
 	s.start()
-	s.waitFor(func() bool { return len((*s.proxy.homes.Load())["g"]) > 0 && s.proxy.IsReady() })
-	s.waitFor(func() bool { return (*s.proxy.groups.Load())["g"] == nil })
+	s.waitFor(func() bool { return len(s.proxy.placement.Load().homes["g"]) > 0 && s.proxy.IsReady() })
+	s.waitFor(func() bool { return s.proxy.placement.Load().groups["g"] == nil })
 }
 
 // TestNonHomeInstanceRelaysSessions checks that an instance that is not a home
@@ -66,7 +66,7 @@
 func TestNonHomeInstanceRelaysSessions(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newNonHomeSimulation()
+	sim := newNonHomeSimulation(t)
 	relayed, stopped := make(chan Peer, 1), make(chan struct{})
 	var once sync.Once
 	sim.relay = func(to Peer) (*Relay, error) {
@@ -78,15 +78,15 @@
 	}
 	sim.startNonHome()
 	c := sim.open("a", "bounded")
-	is.Equal((<-relayed).DataCentre, core.DataCentre("dc1"))
+	is.Equal(receive(t, relayed, "relayed").DataCentre, core.DataCentre("dc1"))
 	sim.mu.Lock()
 	for _, f := range sim.fakes {
 		is.Equal(f.reports, 0)
 	}
 	sim.mu.Unlock()
 	close(sim.stop)
-	<-c.ended
-	is.NoErr(<-sim.done)
+	receive(t, c.ended, "end of the session")
+	is.NoErr(receive(t, sim.done, "end of the instance"))
 }
 
 // TestMonitoredGroupIsRelayed checks that an instance which is home of no group relays the
@@ -94,7 +94,7 @@
 func TestMonitoredGroupIsRelayed(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newNonHomeSimulation()
+	sim := newNonHomeSimulation(t)
 	sim.otherGroups = nil
 	relayed := make(chan Peer, 1)
 	sim.relay = func(to Peer) (*Relay, error) {
@@ -102,9 +102,23 @@
 		return &Relay{Run: func() string { return "" }, Stop: func(bool) {}}, nil
 	}
 	sim.start()
-	sim.waitFor(func() bool { return (*sim.proxy.groups.Load())["g"] != nil && *sim.proxy.monitored.Load() == "g" })
-	<-sim.open("a", "bounded").ended
-	is.True((<-relayed).Name != "i1")
+	sim.waitFor(func() bool { return sim.proxy.placement.Load().groups["g"] != nil && sim.proxy.placement.Load().monitored == "g" })
+	receive(t, sim.open("a", "bounded").ended, "end of the session")
+	is.True(receive(t, relayed, "relayed").Name != "i1")
+}
+
+// TestSessionWaitsForFirstEndpoints checks that a session that comes to a process that has
+// just started, before the first list of endpoints, is served and not rejected.
+func TestSessionWaitsForFirstEndpoints(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.endpointsHeld = make(chan struct{})
+	sim.start()
+	sim.waitFor(func() bool { return sim.proxy.placement.Load().groups["g"] != nil })
+	c := sim.open("a", "bounded")
+	time.AfterFunc(placementTimeout/10, func() { close(sim.endpointsHeld) })
+	is.NoErr(c.send(Statement{ID: "1", Kind: KindRead}).Err)
 }
 
 // TestNonHomeInstanceServesWithoutHomes checks that an instance serves a group itself
@@ -113,7 +127,7 @@
 func TestNonHomeInstanceServesWithoutHomes(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newNonHomeSimulation()
+	sim := newNonHomeSimulation(t)
 	var mu sync.Mutex
 	var attempted []core.Instance
 	sim.relay = func(to Peer) (*Relay, error) {
@@ -139,7 +153,7 @@
 func TestRelayedSessionIsNotRelayedAgain(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newNonHomeSimulation()
+	sim := newNonHomeSimulation(t)
 	sim.relay = func(Peer) (*Relay, error) { panic("session relayed twice") }
 	sim.startNonHome()
 	c := sim.openRelayed("a", "bounded")
@@ -147,7 +161,7 @@
 	close(sim.stop)
 	sim.waitFor(func() bool { return !sim.proxy.IsReady() })
 	refused := sim.openRelayed("b", "bounded")
-	is.Equal(asError((<-refused.answers).Err).Code, core.CodeDraining)
+	is.Equal(asError(receive(t, refused.answers, "answer").Err).Code, core.CodeDraining)
 }
 
 // TestStatementsWaitForTheVersion checks that no statement is answered under a
@@ -156,7 +170,7 @@
 func TestStatementsWaitForTheVersion(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	c := sim.open("a", "bounded")
 	is.NoErr(c.send(Statement{ID: "1", Kind: KindRead}).Err)
@@ -177,13 +191,13 @@
 func TestConfigurationAloneIsNotReady(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.peers = nil
 	sim.start()
 	sim.waitFor(func() bool { return sim.proxy.configVersion() > 0 })
 	is.True(!sim.proxy.IsReady())
 	c := sim.open("a", "bounded")
-	is.Equal(asError((<-c.answers).Err).Code, core.CodeNoPrimary)
+	is.Equal(asError(receive(t, c.answers, "answer").Err).Code, core.CodeNoPrimary)
 }
 
 // TestLostGroupIsRelayed checks that a home instance that does not reach its group while it
@@ -191,7 +205,7 @@
 func TestLostGroupIsRelayed(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.peers = []Peer{{Name: "i1", SessionAddress: netip.MustParseAddrPort("127.0.0.1:1")}, {Name: "i2", SessionAddress: netip.MustParseAddrPort("127.0.0.1:2")}}
 	sim.otherGroups = []core.Group{"other"}
 	relayed := make(chan Peer, 1)
@@ -204,8 +218,8 @@
 	sim.setField(sim.find("p"), "dark", "yes")
 	sim.waitFor(func() bool { return sim.proxy.isLost("g") })
 	is.True(sim.proxy.IsReady())
-	<-sim.open("a", "bounded").ended
-	is.Equal((<-relayed).Name, core.Instance("i2"))
+	receive(t, sim.open("a", "bounded").ended, "end of the session")
+	is.Equal(receive(t, relayed, "relayed").Name, core.Instance("i2"))
 	sim.setField(sim.find("r"), "dark", "no")
 	sim.waitFor(func() bool { return !sim.proxy.isLost("g") })
 	is.NoErr(sim.open("b", "bounded").send(Statement{ID: "1", Kind: KindRead}).Err)
@@ -217,7 +231,7 @@
 func TestLostHomeServesNoRelayedSessions(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	relayed, local := sim.openRelayed("a", "bounded"), sim.open("b", "bounded")
 	is.NoErr(relayed.send(Statement{ID: "1", Kind: KindRead}).Err)
@@ -225,15 +239,15 @@
 	for _, name := range []core.Endpoint{"p", "r", "s"} {
 		sim.setField(sim.find(name), "dark", "yes")
 	}
-	<-relayed.ended
+	receive(t, relayed.ended, "end of the session")
 	select {
 	case <-local.ended:
 		t.Error("a session of a caller ended with the relayed one")
 	default:
 	}
 	refused := sim.openRelayed("c", "bounded")
-	is.Equal(asError((<-refused.answers).Err).Code, core.CodeNoPrimary)
-	<-local.ended
+	is.Equal(asError(receive(t, refused.answers, "answer").Err).Code, core.CodeNoPrimary)
+	receive(t, local.ended, "end of the session")
 }
 
 // TestIsolationOutlastsNewGroups checks that an instance without a group of its own notices
@@ -242,11 +256,11 @@
 func TestIsolationOutlastsNewGroups(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newNonHomeSimulation()
+	sim := newNonHomeSimulation(t)
 	sim.relay = func(Peer) (*Relay, error) { return nil, errNoHome }
 	sim.otherGroups = nil
 	sim.start()
-	sim.waitFor(func() bool { return *sim.proxy.monitored.Load() == "g" && sim.proxy.IsReady() })
+	sim.waitFor(func() bool { return sim.proxy.placement.Load().monitored == "g" && sim.proxy.IsReady() })
 	other := sim.groupNamed("h", false)
 	c := testConfig(2)
 	c.Groups[other] = GroupSettings{MaxConnections: 20}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -61,7 +61,7 @@
 // serveCaller serves or relays a started session until it ends.
 func (p *Proxy) serveCaller(caller *Caller) {
 	defer caller.Close()
-	p.awaitConfig()
+	p.awaitPlacement()
 	p.minimumVersion.await(p)
 	r, err := p.route(caller.Database)
 	if err == nil && caller.Relayed && p.drainer.isDraining() {
@@ -70,7 +70,7 @@
 	if err == nil && caller.Relayed && p.isLost(r.Group) {
 		err = core.NewError(core.CodeNoPrimary, "the instance does not reach group %s", r.Group).WithRetry(defaultRetryAfter)
 	}
-	if err == nil && !p.initialized.Load() {
+	if err == nil && !p.placement.Load().complete {
 		err = core.NewError(core.CodeNoPrimary, "the endpoints are not known yet").WithRetry(defaultRetryAfter)
 	}
 	if err != nil {
@@ -94,13 +94,14 @@
 	s.run()
 }
 
-// configTimeout is how long a new session waits for the first configuration; callers
-// wait 2 s for an answer.
-const configTimeout = 1500 * time.Millisecond
+// placementTimeout is how long a new session waits for the first configuration and the
+// first lists of instances and endpoints; callers wait 2 s for an answer.
+const placementTimeout = 1500 * time.Millisecond
 
-func (p *Proxy) awaitConfig() {
+// awaitPlacement waits until a process that has just started knows the endpoints.
+func (p *Proxy) awaitPlacement() {
 	const pollInterval = 20 * time.Millisecond
-	for deadline := p.now().Add(configTimeout); p.config.Load() == nil && p.now().Before(deadline); {
+	for deadline := p.now().Add(placementTimeout); !p.placement.Load().complete && p.now().Before(deadline); {
 		time.Sleep(pollInterval)
 	}
 }
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -19,7 +19,7 @@
 func TestSessions(t *testing.T) {
 	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
 		t.Parallel()
-		sim := newSimulation(nil)
+		sim := newSimulation(t)
 		sim.startAndWait()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var out strings.Builder
@@ -43,7 +43,7 @@
 	case "leave": // leave CALLER
 		c := s.callers[f[1]]
 		close(c.statements)
-		<-c.ended
+		receive(t, c.ended, "end of the session")
 		return f[1] + " left"
 	case "set": // set ENDPOINT FIELD VALUE
 		s.setField(s.find(core.Endpoint(f[1])), f[2], f[3])
@@ -106,7 +106,7 @@
 	offer(c)
 	done := make(chan struct{})
 	s.proxy.control.tryPost(func(time.Time) { close(done) })
-	<-done
+	receive(s.t, done, "handling of an event")
 }
 
 func (s *simulation) ranStatements() string {
@@ -127,7 +127,7 @@
 		defer s.mu.Unlock()
 		return len(s.promoted) > 0
 	})
-	s.waitFor(func() bool { return (*s.proxy.groups.Load())["g"].state.Load().isOpen() })
+	s.waitFor(func() bool { return s.proxy.placement.Load().groups["g"].state.Load().isOpen() })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return strings.Join(s.promoted, ", ")
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -41,6 +42,8 @@
 
 // simulation is an instance with a group of three fake endpoints.
 type simulation struct {
+	t *testing.T
+
 	mu             sync.Mutex
 	fakes          []*fakeEndpoint
 	lease          VersionedValue
@@ -56,6 +59,9 @@
 	peers []Peer
 	// otherGroups are configured beside g and have no endpoints.
 	otherGroups []core.Group
+	// endpointsHeld delays the first list of endpoints until it is closed; nil delays
+	// nothing.
+	endpointsHeld chan struct{}
 	// relay opens a session at another instance.
 	relay func(to Peer) (*Relay, error)
 }
@@ -63,8 +69,8 @@
 // unreachableTimeout bounds how long a request to an unreachable endpoint takes to fail.
 const unreachableTimeout = 300 * time.Millisecond
 
-func newSimulation(now func() time.Time) *simulation {
-	s := &simulation{stop: make(chan struct{}), done: make(chan error, 1), callers: map[string]*testCaller{}, peers: []Peer{{Name: "i1"}}}
+func newSimulation(t *testing.T) *simulation {
+	s := &simulation{t: t, stop: make(chan struct{}), done: make(chan error, 1), callers: map[string]*testCaller{}, peers: []Peer{{Name: "i1"}}}
 	for i, name := range []core.Endpoint{"p", "r", "s"} {
 		f := &fakeEndpoint{
 			info: Endpoint{Name: name, Group: "g", DataCentre: core.DataCentre("dc" + strconv.Itoa(i)), Slots: 3, Role: core.RoleReplica},
@@ -78,10 +84,7 @@
 	if os.Getenv("ANVILTACK_TEST_LOG") != "" {
 		log.SetOutput(os.Stderr)
 	}
-	if now == nil {
-		now = clock.Now
-	}
-	s.proxy = New(Settings{Instance: "i1", DataCentre: "dc1", GracePeriod: 6 * time.Second}, s.dependencies(now), log.WithField("instance", "i1"))
+	s.proxy = New(Settings{Instance: "i1", DataCentre: "dc1", GracePeriod: 6 * time.Second}, s.dependencies(clock.Now), log.WithField("instance", "i1"))
 	return s
 }
 
@@ -93,6 +96,9 @@
 			s.mu.Lock()
 			s.offerEndpoints = offer
 			s.mu.Unlock()
+			if s.endpointsHeld != nil {
+				<-s.endpointsHeld
+			}
 			offer(s.list())
 			<-ctx.Done()
 			return ctx.Err()
@@ -470,21 +476,31 @@
 	case a := <-c.answers:
 		return a
 	case <-c.ended:
-		select {
-		case a := <-c.answers: // the session was rejected before it ended
-			return a
-		default:
-			return Answer{Err: errDisconnected}
-		}
+		return c.lastAnswer()
+	}
+	select {
+	case a := <-c.answers:
+		return a
+	case <-c.ended:
+		return c.lastAnswer()
+	}
+}
+
+// lastAnswer returns the answer with which a session ended.
+func (c *testCaller) lastAnswer() Answer {
+	select {
+	case a := <-c.answers:
+		return a
+	default:
+		return Answer{Err: errDisconnected}
 	}
-	return <-c.answers
 }
 
 // startAndWait starts the instance and waits until the group takes writes.
 func (s *simulation) startAndWait() {
 	s.start()
 	s.waitFor(func() bool {
-		g := (*s.proxy.groups.Load())["g"]
+		g := s.proxy.placement.Load().groups["g"]
 		return g != nil && g.state.Load().isOpen() && !g.state.Load().confirmed.AsOf.IsZero()
 	})
 }
@@ -494,9 +510,28 @@
 	go func() { s.done <- s.proxy.Serve(context.Background(), s.stop) }()
 }
 
-// waitFor waits for a condition, bounded only by the time limit of the test.
+// stepTimeout bounds one step of a test, so that a step that goes another way than expected
+// fails there instead of at the time limit of the package.
+const stepTimeout = time.Minute
+
+// waitFor waits for a condition.
 func (s *simulation) waitFor(ok func() bool) {
-	for !ok() {
-		time.Sleep(2 * time.Millisecond)
+	s.t.Helper()
+	for deadline := time.Now().Add(stepTimeout); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("condition not met within %s", stepTimeout)
+		}
+	}
+}
+
+// receive returns the next value of a channel; what names it in the failure.
+func receive[T any](t *testing.T, c <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(stepTimeout):
+		t.Fatalf("%s: nothing within %s", what, stepTimeout)
+		panic("unreachable")
 	}
 }
--- a/proxy/soak_test.go
+++ b/proxy/soak_test.go
@@ -670,8 +670,8 @@
 }
 
 // checkFinalLog checks the log of the last primary after all faults have ended.
-func (s *soak) checkFinalLog() {
-	sim := &simulation{proxy: s.instances[0], callers: map[string]*testCaller{}}
+func (s *soak) checkFinalLog(t *testing.T) {
+	sim := &simulation{t: t, proxy: s.instances[0], callers: map[string]*testCaller{}}
 	c := &soakCaller{soak: s, name: "end", freshness: FreshnessNewest, session: sim.open("end", "newest")}
 	sim.waitFor(func() bool {
 		id := c.newStatement(KindWrite)
@@ -723,7 +723,7 @@
 	}
 	cancel()
 	callers.Wait()
-	s.checkFinalLog()
+	s.checkFinalLog(t)
 	t.Logf("%d writes acknowledged, %d rejected, %d promotions", s.writes, len(s.rejected), s.promotions)
 	for _, f := range s.violations {
 		t.Error(f)
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -21,7 +21,7 @@
 func TestStop(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	idle, busy := sim.open("idle", "newest"), sim.open("busy", "newest")
 	is.Equal(busy.send(Statement{ID: "1", Kind: KindBegin}).State, StateTransaction)
@@ -30,12 +30,12 @@
 	close(sim.stop)
 	sim.waitFor(func() bool { return !sim.proxy.IsReady() })
 	is.NoErr(idle.send(Statement{ID: "3", Kind: KindRead}).Err) // still served
-	<-idle.ended
+	receive(t, idle.ended, "end of the session")
 	a := busy.send(Statement{ID: "4", Kind: KindCommit})
 	is.NoErr(a.Err)
 	is.Equal(a.Proof, "signed by p")
-	<-busy.ended
-	is.NoErr(<-sim.done)
+	receive(t, busy.ended, "end of the session")
+	is.NoErr(receive(t, sim.done, "end of the instance"))
 }
 
 // TestStopEndsTransactions checks that a transaction that is still open after half of the
@@ -43,14 +43,14 @@
 func TestStopEndsTransactions(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	c := sim.open("a", "newest")
 	c.send(Statement{ID: "1", Kind: KindBegin})
 	is.NoErr(c.send(Statement{ID: "2", Kind: KindWrite}).Err)
 	close(sim.stop)
-	<-c.ended
-	is.NoErr(<-sim.done)
+	receive(t, c.ended, "end of the session")
+	is.NoErr(receive(t, sim.done, "end of the instance"))
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
 	is.Equal(sim.fakes[0].last, core.Point{Term: 1, Position: 10})
@@ -60,7 +60,7 @@
 // sessions while no endpoint answers.
 func TestIsolatedInstanceIsNotReady(t *testing.T) {
 	t.Parallel()
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	c := sim.open("a", "newest")
 	setUnreachable := func(on bool) {
@@ -72,7 +72,7 @@
 	}
 	setUnreachable(true)
 	sim.waitFor(func() bool { return !sim.proxy.IsReady() })
-	<-c.ended
+	receive(t, c.ended, "end of the session")
 	setUnreachable(false)
 	sim.waitFor(sim.proxy.IsReady)
 }
@@ -83,7 +83,7 @@
 func TestRefusalIsExplained(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	logger, hook := test.NewNullLogger()
 	sim.proxy.log = logrus.NewEntry(logger)
 	sim.startAndWait()
@@ -113,7 +113,7 @@
 func TestMetricsAndDump(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	is.NoErr(sim.open("a", "newest").send(Statement{ID: "1", Kind: KindWrite}).Err)
 	r := httptest.NewRecorder()
@@ -137,9 +137,9 @@
 func TestConnectionsStayWithinShare(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
-	e := (*sim.proxy.groups.Load())["g"].state.Load().primary
+	e := sim.proxy.placement.Load().groups["g"].state.Load().primary
 	for range 50 {
 		go func() { _, _ = e.acquire(connectionRequest{maxWait: time.Minute}) }()
 	}
@@ -153,7 +153,7 @@
 func TestRolledBackConnectionIsClean(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	a, b := sim.open("a", "newest"), sim.open("b", "newest")
 	for range 10 {
@@ -175,7 +175,7 @@
 func TestRecover(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	before := sim.open("before", "newest")
 	is.NoErr(before.send(Statement{ID: "1", Kind: KindWrite}).Err)
--- a/proxy/store_era_test.go
+++ b/proxy/store_era_test.go
@@ -15,7 +15,7 @@
 func TestRestoreDelaysPromotion(t *testing.T) {
 	is := is.New(t)
 	t.Parallel()
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
 	restoredAt := clock.Now()
 	sim.restoreStore("i1 1x")
@@ -30,9 +30,9 @@
 func TestLeaseFoundInLaterEra(t *testing.T) {
 	is := is.New(t)
 	t.Parallel()
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
-	g := (*sim.proxy.groups.Load())["g"].groupControl
+	g := sim.proxy.placement.Load().groups["g"].groupControl
 	value := lease.Value{Holder: "i1", Nonce: "1x"}
 	sim.mu.Lock()
 	sim.lease = VersionedValue{Value: value.String()}
@@ -51,9 +51,9 @@
 func TestPromotionEndsOverRestore(t *testing.T) {
 	is := is.New(t)
 	t.Parallel()
-	sim := newSimulation(nil)
+	sim := newSimulation(t)
 	sim.startAndWait()
-	g := (*sim.proxy.groups.Load())["g"].groupControl
+	g := sim.proxy.placement.Load().groups["g"].groupControl
 	held, err := g.acquireLease()
 	is.NoErr(err)
 	sim.restoreStore("")
