Let the old primary of the tests follow the new one when it is fenced late

Cause: TestSessions/majority failed once in 30 runs beside busy processes (issue: 30 runs of the package). A failover promotes as soon as a majority is fenced, so the fence of the old primary may come after the promotion. The fake then gave it the role of a replica in the old term, which nothing replicates to, and the next write had no majority. On the platform a primary that is told to step down follows the new one.

Ruled out: the product; the same script passes whenever the fence comes first.

Change: the fake joins the term of its successor. The script majority-late-fence holds the fence back and fails on the fake before; assertions are as before.

--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -102,7 +102,9 @@
 		return &Relay{Run: func() string { return "" }, Stop: func(bool) {}}, nil
 	}
 	sim.start()
-	sim.waitFor(func() bool { return sim.proxy.placement.Load().groups["g"] != nil && sim.proxy.placement.Load().monitored == "g" })
+	sim.waitFor(func() bool {
+		return sim.proxy.placement.Load().groups["g"] != nil && sim.proxy.placement.Load().monitored == "g"
+	})
 	receive(t, sim.open("a", "bounded").ended, "end of the session")
 	is.True(receive(t, relayed, "relayed").Name != "i1")
 }
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -85,6 +85,8 @@
 		f.unreachable = on
 	case "deaf":
 		f.notReceiving = on
+	case "fenced-late":
+		f.fencedLate = on
 	case "stuck":
 		f.notApplying = on
 	case "lose":
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -31,6 +31,8 @@
 	// unreachable leaves everything unanswered, notReceiving receives no log entries,
 	// notApplying applies none.
 	unreachable, notReceiving, notApplying bool
+	// fencedLate delays fences until an endpoint was promoted.
+	fencedLate bool
 	// loseAnswer drops the answer to the next statement of a caller, which is executed.
 	loseAnswer bool
 	// fault is the answer to the next statement of a caller, which is not executed.
@@ -207,6 +209,16 @@
 	return nil
 }
 
+// followNewPrimary lets an endpoint that was the primary follow the one that replaced it, if
+// there is one.
+func (s *simulation) followNewPrimary(old *fakeEndpoint) {
+	for _, f := range s.fakes {
+		if f.role == core.RolePrimary && f.term > old.term {
+			old.term, old.last, old.applied = f.term, f.last, f.applied
+		}
+	}
+}
+
 func (s *simulation) find(name core.Endpoint) *fakeEndpoint {
 	i := slices.IndexFunc(s.fakes, func(f *fakeEndpoint) bool { return f.info.Name == name })
 	return s.fakes[i]
@@ -307,8 +319,14 @@
 	}
 	c.sim.mu.Lock()
 	defer c.sim.mu.Unlock()
+	for c.fake.fencedLate && len(c.sim.promoted) == 0 {
+		c.sim.mu.Unlock()
+		time.Sleep(time.Millisecond)
+		c.sim.mu.Lock()
+	}
 	if c.fake.role == core.RolePrimary && term > c.fake.term {
 		c.fake.role = core.RoleReplica
+		c.sim.followNewPrimary(c.fake)
 	}
 	c.fake.fence = max(c.fake.fence, term)
 	return c.report(), nil
