End a session right after a refused statement while the instance is isolated

Statements for a group that is known to be lost also queued or waited for samples first.

Change: an isolated instance closes a session with the refusal, outside transactions, so that the retry is forwarded to an instance that reaches the groups; for a lost group it waits neither for samples nor for a primary.

--- a/proxy/read.go
+++ b/proxy/read.go
@@ -118,7 +118,7 @@
 	}
 	if !find(g.state.Load()) {
 		g.addDemand(failover.Demand{AsOf: arrived})
-		if !g.awaitState(freshnessTimeout, find) {
+		if g.lost.Load() || !g.awaitState(freshnessTimeout, find) {
 			return required, core.NewError(core.CodeNoFreshReplica, "too few endpoints of %s report to determine their freshness", g.name).WithRetry(defaultRetryAfter)
 		}
 	}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -143,9 +143,19 @@
 		if s.caller.Answer(a) != nil {
 			return
 		}
+		if s.isBetterServedElsewhere(a.Err) {
+			return
+		}
 	}
 }
 
+// isBetterServedElsewhere reports whether the session should end after a refused statement:
+// the platform forwards a new connection, but never an open one, to an instance that
+// reaches the groups.
+func (s *session) isBetterServedElsewhere(refused error) bool {
+	return refused != nil && s.tx == nil && !s.caller.Relayed && s.proxy.isolated.Load()
+}
+
 // answer runs one statement.
 func (s *session) answer(st Statement, arrived time.Time) Answer {
 	if s.tx != nil && s.tx.failed && st.Kind != KindCommit && st.Kind != KindRollback {
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -77,6 +78,29 @@
 	sim.waitFor(sim.proxy.IsReady)
 }
 
+// TestIsolatedInstanceEndsRefusedSessions checks that an instance that reaches no group ends
+// a session right after it refused a statement of it, so that the caller's retry reaches
+// another instance, and does not queue the statement first.
+func TestIsolatedInstanceEndsRefusedSessions(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	for _, name := range []core.Endpoint{"p", "r", "s"} {
+		sim.setField(sim.find(name), "dark", "yes")
+	}
+	sim.waitFor(func() bool { return !sim.proxy.IsReady() })
+	for i, database := range []core.Database{"newest", "session"} {
+		sentAt := time.Now()
+		c := sim.open(string(database), database)
+		refused := asError(c.send(Statement{ID: strconv.Itoa(i), Kind: KindWrite}).Err)
+		is.Equal(refused.Code, core.CodeNoPrimary)
+		is.True(refused.RetryAfter > 0)
+		receive(t, c.ended, "end of the session")
+		is.True(time.Since(sentAt) < readinessDelay/2)
+	}
+}
+
 // TestRefusalIsExplained checks that the log line of a rejected statement has the reason,
 // the caller's id and the age of the last confirmation, and nothing of the statement's
 // text.
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -26,8 +26,8 @@
 		now := s.proxy.now()
 		admission := state.available.Admit(now, deadline, int(g.waitingForPrimary.Add(1))-1, maxPrimaryWaiters)
 		defer g.waitingForPrimary.Add(-1)
-		if !admission.Wait {
-			return nil, 0, noPrimaryError(state, g).WithRetry(admission.RetryAfter)
+		if !admission.Wait || g.lost.Load() {
+			return nil, 0, noPrimaryError(state, g).WithRetry(max(admission.RetryAfter, defaultRetryAfter))
 		}
 		g.awaitState(state.available.WaitTimeout(now, deadline), func(next *groupState) bool { state = next; return usable(next) })
 		if !usable(state) {
