Notice a partition from the silence of everything outside the data centre

Cause: cut at 33.50 s, the three groups of landivisiau-1 counted as lost at 34.11, 34.76 and 34.79 s and the instance as isolated then: each group gathered its own evidence, one timed-out sample of 220 ms after the other.

Change: core/reach looks at all endpoints at once: no answer from outside for 120 ms, and requests to two endpoints in two other data centres overdue. Then all endpoints are sampled, since one answer disproves it, and groups count only endpoints of the own data centre; isolationDelay stays. Requests of every kind are watched, and are overdue after 120 ms (was 200, statements only).

--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -177,6 +177,18 @@
 	return n > 0 && n >= m.majority()
 }
 
+// HasLocalQuorum reports whether the members in the instance's own data centre are a majority
+// that answers.
+func (m *Machine) HasLocalQuorum() bool {
+	n := 0
+	for _, e := range m.members {
+		if e.SameDataCentre && e.failures == 0 {
+			n++
+		}
+	}
+	return n >= m.majority()
+}
+
 // SampleAll makes a sample of every member due, because another source reported a
 // change.
 func (m *Machine) SampleAll(now time.Time) []Action {
--- a/proxy/control.go
+++ b/proxy/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/reach"
 )
 
 // controlQueue is how many events may wait for the control goroutine.
@@ -43,6 +44,10 @@
 	// changed since.
 	peersChangedAt time.Time
 	reassignAt     time.Time
+	// overdue is true once a request is overdue, until all endpoints have responded again.
+	overdue bool
+	// partitioned is true while nothing outside the data centre responds.
+	partitioned bool
 	// unreachableSince is the time since which no group has had a reachable majority;
 	// zero while one has.
 	unreachableSince time.Time
@@ -106,6 +111,7 @@
 // updateIsolation updates whether the instance is isolated: while it reaches no group,
 // callers should use another instance.
 func (c *control) updateIsolation(now time.Time) {
+	c.updatePartitioned(now)
 	anyLost := false
 	for _, g := range c.groups {
 		g.updateLost(now)
@@ -132,6 +138,40 @@
 	}
 }
 
+// updatePartitioned updates whether the instance is partitioned from everything outside its
+// data centre.
+func (c *control) updatePartitioned(now time.Time) {
+	if !c.overdue {
+		return
+	}
+	var list []reach.Endpoint
+	c.overdue = false
+	for _, g := range c.groups {
+		for _, e := range g.endpoints {
+			r := e.responses()
+			list = append(list, r)
+			c.overdue = c.overdue || !r.UnansweredSince.IsZero()
+		}
+	}
+	partitioned := reach.IsPartitioned(now, core.DataCentre(c.proxy.settings.DataCentre), list)
+	if partitioned == c.partitioned {
+		return
+	}
+	c.partitioned = partitioned
+	c.proxy.event(core.EventIsolated).WithField("partitioned", partitioned).Warn("reach of other data centres changed")
+	if partitioned {
+		// A single answer disproves it.
+		c.sampleAll(now)
+	}
+}
+
+// sampleAll requests the status of all endpoints.
+func (c *control) sampleAll(now time.Time) {
+	for _, g := range c.groups {
+		g.perform(now, g.machine.SampleAll(now))
+	}
+}
+
 // post passes an event to the control goroutine and waits while its queue is full.
 func (c *control) post(ctx context.Context, handle func(now time.Time)) {
 	select {
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -13,6 +13,7 @@
 	failover "anviltack/core/group"
 	"anviltack/core/place"
 	"anviltack/core/queue"
+	"anviltack/core/reach"
 )
 
 const (
@@ -91,8 +92,13 @@
 	// endpoint is known to have run.
 	upSince  time.Time
 	lastUpAt time.Time
-	// answeredAt is when the endpoint last answered a statement.
-	answeredAt time.Time
+	// answeredAt is when the endpoint last answered a statement, and respondedAt when it
+	// last responded to anything.
+	answeredAt  time.Time
+	respondedAt time.Time
+	// unansweredSince is when the oldest overdue request was sent; zero if the endpoint
+	// has responded since.
+	unansweredSince time.Time
 }
 
 // grant is the result that a waiter receives: a connection or an error.
@@ -145,29 +151,52 @@
 	}
 }
 
-// overdueAfter is how long a statement may run, while the endpoint answers nothing
+// overdueAfter is how long a request may take, while the endpoint responds to nothing
 // else, before it counts as a timeout and the endpoint is sampled.
-const overdueAfter = 200 * time.Millisecond
+const overdueAfter = reach.MinSilence
 
-// watchOverdue starts a timer that reports a timeout if the endpoint has answered
-// nothing since sentAt. It must be stopped when the statement ends.
+// watchOverdue starts a timer that reports a timeout if the endpoint has not responded to
+// anything since sentAt. It must be stopped when the request ends.
 func (e *endpoint) watchOverdue(sentAt time.Time) *time.Timer {
 	return time.AfterFunc(overdueAfter, func() {
 		e.mu.Lock()
-		unanswered := e.answeredAt.Before(sentAt)
+		unanswered := e.respondedAt.Before(sentAt)
+		if unanswered && e.unansweredSince.IsZero() {
+			e.unansweredSince = sentAt
+		}
 		e.mu.Unlock()
 		if unanswered {
-			e.groupControl.postTrafficOutcome(e, failover.OutcomeTimeout)
+			e.groupControl.postOverdue(e)
 		}
 	})
 }
 
+// noteResponse records that the endpoint responded to a request.
+func (e *endpoint) noteResponse(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noteResponseLocked(now)
+}
+
+func (e *endpoint) noteResponseLocked(now time.Time) {
+	e.respondedAt = now
+	e.unansweredSince = time.Time{}
+}
+
+// responses describes the endpoint's responses to the detection of partitions.
+func (e *endpoint) responses() reach.Endpoint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return reach.Endpoint{DataCentre: e.info.DataCentre, AnsweredAt: e.respondedAt, UnansweredSince: e.unansweredSince}
+}
+
 // recordAnswer records the answer to a statement that required a point which the group
 // had reached at reachedAt; zero if it required none.
 func (e *endpoint) recordAnswer(now, reachedAt time.Time, a Answer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.answeredAt = now
+	e.noteResponseLocked(now)
 	e.raiseVisibleLocked(a.Point.Term, a.Point)
 	if a.Err == nil && !reachedAt.IsZero() && now.Sub(reachedAt) <= e.observedLag {
 		e.observedLagUntil = time.Time{}
@@ -197,6 +226,9 @@
 func (e *endpoint) recordFailure(now, sentAt time.Time, err error) {
 	f := failureOf(err)
 	e.mu.Lock()
+	if f == failover.OutcomeAnswered || f == failover.OutcomeRefused {
+		e.noteResponseLocked(now)
+	}
 	answeredSince := e.answeredAt.After(sentAt)
 	if f == failover.OutcomeTimeout && !answeredSince {
 		e.suspectUntil = now.Add(suspectDuration)
@@ -238,6 +270,8 @@
 // since which the endpoint's process has been running.
 func (e *endpoint) request(newConnection bool, use func(*Conn) (Report, error)) (Report, time.Time, error) {
 	p := e.groupControl.control.proxy
+	overdue := e.watchOverdue(p.now())
+	defer overdue.Stop()
 	c, err := e.takeIdleOrReserve(newConnection)
 	if err == nil && c == nil {
 		c, err = e.dial()
@@ -247,6 +281,9 @@
 	}
 	sentAt := p.now()
 	r, err := use(c.conn)
+	if err == nil {
+		e.noteResponse(p.now())
+	}
 	p.counts.controlRequests.Inc(1)
 	var upSince time.Time
 	if err == nil {
@@ -265,10 +302,14 @@
 	c, err := p.dependencies.Endpoints.Dial(ctx, e.info)
 	p.counts.connections.Inc(1)
 	if err == nil {
+		e.noteResponse(p.now())
 		return newEndpointConn(e, c, p.now()), nil
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if f := failureOf(err); f == failover.OutcomeAnswered || f == failover.OutcomeRefused {
+		e.noteResponseLocked(p.now())
+	}
 	e.open--
 	e.recordFullLocked(p.now(), err)
 	return nil, err
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -194,7 +194,9 @@
 	p := e.groupControl.control.proxy
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
+	overdue := e.watchOverdue(p.now())
 	c, err := p.dependencies.Endpoints.Dial(ctx, e.info)
+	overdue.Stop()
 	now := p.now()
 	p.counts.connections.Inc(1)
 	if err != nil {
@@ -204,6 +206,7 @@
 	defer e.mu.Unlock()
 	e.opening--
 	if err == nil {
+		e.noteResponseLocked(now)
 		e.addIdleLocked(now, newEndpointConn(e, c, now))
 		return
 	}
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -268,6 +268,9 @@
 // known not to have been replaced. If proven is set, endpoints that were not sampled yet do
 // not count.
 func (g *groupControl) isReached(now time.Time, proven bool) bool {
+	if g.control.partitioned {
+		return g.machine.HasLocalQuorum()
+	}
 	if g.machine.IsPrimaryWithoutQuorum() && now.Sub(g.machine.Confirmed().AsOf) < 2*leaseCheckInterval {
 		return true
 	}
@@ -454,6 +457,16 @@
 	})
 }
 
+// postOverdue passes an overdue request to the control goroutine.
+func (g *groupControl) postOverdue(e *endpoint) {
+	g.control.tryPost(func(now time.Time) {
+		if g.endpoints[e.info.Name] == e {
+			g.control.overdue = true
+			g.perform(now, g.machine.TrafficOutcome(now, e.info.Name, failover.OutcomeTimeout))
+		}
+	})
+}
+
 // postTrafficOutcome passes the outcome of a statement or connection attempt to the
 // control goroutine.
 func (g *groupControl) postTrafficOutcome(e *endpoint, o failover.Outcome) {
