Count a primary's silence from the overdue statement, and rank its data centre last

Cause: the silence of a primary counted from the sample that an overdue statement caused, 120 to 200 ms after the statement; and rank 0, which reacts first, could be an instance in the data centre that was cut off together with the primary, for 250 ms nobody's turn.

Change: Machine.RequestOverdue; home.Rank.

--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -214,6 +214,18 @@
 	return m.evaluate(now)
 }
 
+// RequestOverdue handles a caller's statement that was sent to the endpoint and is unanswered
+// longer than statements commonly take. The endpoint's silence counts from then, and a sample
+// finds out whether only the statement is at fault.
+func (m *Machine) RequestOverdue(now time.Time, endpoint core.Endpoint, sentAt time.Time) []Action {
+	m.advanceClock(now)
+	if e := m.member(endpoint); e != nil && e.answeredAt.Before(sentAt) {
+		e.noteUnanswered(sentAt)
+		e.nextSample = now
+	}
+	return m.evaluate(now)
+}
+
 // SetWaiting sets the number of statements that wait for a confirmation.
 func (m *Machine) SetWaiting(now time.Time, n int) []Action {
 	m.advanceClock(now)
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -34,8 +34,8 @@
 	refusedFirst time.Time
 	refusedLast  time.Time
 	refusals     int
-	// unansweredSince is when the first sample since the last answer was sent; zero
-	// without one.
+	// unansweredSince is when the first sample or overdue statement since the last answer
+	// was sent; zero without one.
 	unansweredSince time.Time
 	// failures counts failures of every kind since the last answer.
 	failures int
@@ -62,8 +62,13 @@
 // noteSampleSent records that a sample was requested.
 func (e *member) noteSampleSent(now time.Time) {
 	e.outstanding = append(e.outstanding, now)
-	if e.unansweredSince.IsZero() {
-		e.unansweredSince = now
+	e.noteUnanswered(now)
+}
+
+// noteUnanswered records that a request sent at sentAt has no answer yet.
+func (e *member) noteUnanswered(sentAt time.Time) {
+	if e.unansweredSince.IsZero() || sentAt.Before(e.unansweredSince) {
+		e.unansweredSince = sentAt
 	}
 }
 
--- a/core/group/sparse_sampling_test.go
+++ b/core/group/sparse_sampling_test.go
@@ -273,3 +273,42 @@
 	is.Equal(a.WaitTimeout(epoch.Add(expectedOutage), late), 2*minRemaining)
 	is.Equal(a.WaitTimeout(epoch, epoch.Add(time.Millisecond)), time.Millisecond)
 }
+
+// TestSilenceCountsFromStatement is the load of a primary that falls silent under callers'
+// statements: its silence counts from the first of them.
+func TestSilenceCountsFromStatement(t *testing.T) {
+	is := is.New(t)
+	m := newSparseMachine()
+	m.advance(300 * time.Millisecond)
+	m.PrimaryCheckPassed(m.now, "p", m.now, core.Point{Term: 1, Position: 10})
+	m.now = m.now.Add(10 * time.Millisecond)
+	sentAt := m.now
+	m.now = m.now.Add(120 * time.Millisecond)
+	actions := m.RequestOverdue(m.now, "p", sentAt)
+	is.Equal(actions[0].Endpoint, core.Endpoint("p"))
+	is.True(m.Availability().Serving)
+	m.advance(90 * time.Millisecond)
+	is.True(!m.Availability().Serving)
+	m.advance(180 * time.Millisecond)
+	m.report("r", core.RoleReplica, 1, 1, 10)
+	m.report("s", core.RoleReplica, 1, 1, 10)
+	is.True(m.suspectedSince.IsZero())
+	m.advance(11 * time.Millisecond)
+	is.True(!m.suspectedSince.IsZero())
+}
+
+// TestOverdueStatementAlone checks that a long statement at an endpoint that answers a sample
+// is no failure.
+func TestOverdueStatementAlone(t *testing.T) {
+	is := is.New(t)
+	m := newSparseMachine()
+	m.advance(300 * time.Millisecond)
+	m.PrimaryCheckPassed(m.now, "p", m.now, core.Point{Term: 1, Position: 10})
+	sentAt := m.now.Add(time.Millisecond)
+	m.now = m.now.Add(121 * time.Millisecond)
+	m.RequestOverdue(m.now, "p", sentAt)
+	m.PrimaryCheckPassed(m.now.Add(10*time.Millisecond), "p", m.now, core.Point{Term: 1, Position: 10})
+	m.advance(800 * time.Millisecond)
+	is.True(m.Availability().Serving)
+	is.True(m.suspectedSince.IsZero())
+}
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -166,7 +166,7 @@
 		}
 		e.mu.Unlock()
 		if unanswered {
-			e.groupControl.postOverdue(e)
+			e.groupControl.postOverdue(e, sentAt)
 		}
 	})
 }
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -7,10 +7,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"anviltack/core"
 	failover "anviltack/core/group"
+	"anviltack/core/home"
 	"anviltack/core/lease"
 	"anviltack/core/mark"
 )
@@ -110,8 +109,10 @@
 	lease lease.Lease
 	// homes are the group's home instances.
 	homes []core.Instance
-	// rank is this instance's rank among them; rank 0 starts a failover first.
-	rank int
+	// rank is this instance's rank among them while rankedFor is the primary; rank 0 starts
+	// a failover first.
+	rank      int
+	rankedFor core.Endpoint
 	// readingLease is true while the lease is being read to resolve fences, and
 	// leaseReadAt is when the last such read began.
 	readingLease bool
@@ -227,25 +228,27 @@
 }
 
 // computeRank returns this instance's rank among the home instances; others rank after
-// them.
+// them. Those in the primary's data centre come last: a failure of that data centre is theirs
+// as well.
 func (g *groupControl) computeRank() int {
-	hash := func(i core.Instance) uint64 { return xxhash.Sum64String(string(i) + " " + string(g.group.name)) }
-	own := hash(core.Instance(g.control.proxy.settings.Instance))
-	rank := 0
+	homes := make([]home.Instance, 0, len(g.homes))
 	for _, i := range g.homes {
-		if hash(i) < own {
-			rank++
-		}
+		homes = append(homes, home.Instance{Name: i, DataCentre: g.control.lastListed[i].peer.DataCentre})
 	}
-	if len(g.homes) > 0 && !slices.Contains(g.homes, core.Instance(g.control.proxy.settings.Instance)) {
-		rank += len(g.homes)
+	var primary core.DataCentre
+	if e := g.endpoints[g.rankedFor]; e != nil {
+		primary = e.info.DataCentre
 	}
-	return rank
+	return home.Rank(g.control.self(), homes, g.group.name, primary)
 }
 
 // updateRank sets the rank of the machine. An instance that cannot reach the lease store
 // ranks after all others.
 func (g *groupControl) updateRank() {
+	if _, primary := g.machine.Primary(); primary != g.rankedFor {
+		g.rankedFor = primary
+		g.rank = g.computeRank()
+	}
 	rank := g.rank
 	if !g.control.proxy.dependencies.LeaseStore.IsHealthy() {
 		rank += len(g.homes)
@@ -458,11 +461,11 @@
 }
 
 // postOverdue passes an overdue request to the control goroutine.
-func (g *groupControl) postOverdue(e *endpoint) {
+func (g *groupControl) postOverdue(e *endpoint, sentAt time.Time) {
 	g.control.tryPost(func(now time.Time) {
 		if g.endpoints[e.info.Name] == e {
 			g.control.overdue = true
-			g.perform(now, g.machine.TrafficOutcome(now, e.info.Name, failover.OutcomeTimeout))
+			g.perform(now, g.machine.RequestOverdue(now, e.info.Name, sentAt))
 		}
 	})
 }
