Send no reads to an endpoint that has left a request overdue

Change: an endpoint with an overdue request is no candidate for reads until it responds, to a sample at the latest; a read that waits at one that responds to nothing, not even to the sample, goes elsewhere after 180 ms.

--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -135,7 +135,7 @@
 		Endpoint: e.info.Name, Primary: primary, Local: string(e.info.DataCentre) == dataCentre,
 		Visible: e.visible, Lag: lag, LaggingUntil: e.laggingUntil,
 		Load: e.inFlight + e.queue.Len(), Running: e.running, ConnectionShare: e.maxConnections, Slots: e.info.Slots,
-		Down:    e.closed || now.Before(e.suspectUntil) || e.open == e.opening && now.Before(e.reconnectAt),
+		Down:    e.closed || now.Before(e.suspectUntil) || !e.unansweredSince.IsZero() || e.open == e.opening && now.Before(e.reconnectAt),
 		Leaving: e.leaving.Load(),
 	}
 }
@@ -171,6 +171,23 @@
 	})
 }
 
+// abandonAfter is how long a read waits for an endpoint that responds to nothing, not even to
+// the sample that the overdue read caused, before another endpoint is tried.
+const abandonAfter = overdueAfter + 60*time.Millisecond
+
+// abandonUnanswered starts a timer that closes a read's connection if the endpoint has not
+// responded to anything since sentAt. It must be stopped when the read ends.
+func (e *endpoint) abandonUnanswered(c *Conn, sentAt time.Time) *time.Timer {
+	return time.AfterFunc(abandonAfter, func() {
+		e.mu.Lock()
+		unanswered := e.respondedAt.Before(sentAt)
+		e.mu.Unlock()
+		if unanswered {
+			c.Close()
+		}
+	})
+}
+
 // noteResponse records that the endpoint responded to a request.
 func (e *endpoint) noteResponse(now time.Time) {
 	e.mu.Lock()
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -98,7 +98,9 @@
 		return Answer{}, e.info.Name, err
 	}
 	st.After, st.AfterAt = required.Point, required.ReachedAt
+	abandon := e.abandonUnanswered(c.conn, s.proxy.now())
 	a, err := s.exchange(c, min(remaining, readAttemptTimeout), st, true)
+	abandon.Stop()
 	c.release(err == nil)
 	if err == nil {
 		err = a.Err
