Fence a primary for good, and start no failover whose fences could not reach a majority

Writes stalled; the instance took endpoints for reachable that had answered within 2.7 s, and started a failover that could not succeed. Its fence kept the replica from following the healthy primary. When the list shrank to three, the two could have served, but the primary, told to step down, never held the fenced term (held 2 for 3), so each later attempt lacked the majority as well: no primary from 35.2 s to the end of the cut and beyond, 803 of 1,981 refusals of the group logged after the restart.

Change: an endpoint that leaves samples unanswered does not count for the majority that a failover needs; a primary that has stepped down is also fenced as a replica.

--- a/core/group/failure_detection.go
+++ b/core/group/failure_detection.go
@@ -140,11 +140,11 @@
 }
 
 // reachesMajority reports whether the instance reaches a majority of the group without
-// counting the suspect.
+// counting the suspect. An endpoint that leaves samples unanswered could not be fenced.
 func (m *Machine) reachesMajority(now time.Time, suspect core.Endpoint) bool {
 	n := 0
 	for _, e := range m.members {
-		if e.Name != suspect && m.isReachable(e, now) {
+		if e.Name != suspect && e.failures == 0 && m.isReachable(e, now) {
 			n++
 		}
 	}
--- a/core/group/sparse_sampling_test.go
+++ b/core/group/sparse_sampling_test.go
@@ -312,3 +312,28 @@
 	is.True(m.Availability().Serving)
 	is.True(m.suspectedSince.IsZero())
 }
+
+// TestStalledWithoutMajority is the load of a group in which a leaving endpoint has ended but
+// is still listed while another one is unreachable: writes stall, but fences could not reach a
+// majority and would only keep the replica that is left from following the primary.
+func TestStalledWithoutMajority(t *testing.T) {
+	is := is.New(t)
+	m := newSparseMachine()
+	m.Configure(m.now, []Member{{Name: "l", Leaving: true}, {Name: "p"}, {Name: "r"}, {Name: "s"}})
+	m.report("l", core.RoleReplica, 1, 1, 10)
+	m.advance(10 * time.Millisecond)
+	m.PrimaryCheckPassed(m.now, "p", m.now, core.Point{Term: 1, Position: 11})
+	m.AddDemand(m.now, Demand{Point: core.Point{Term: 1, Position: 11}})
+	for range 20 {
+		m.now = m.now.Add(100 * time.Millisecond)
+		m.PrimaryCheckPassed(m.now, "p", m.now, core.Point{Term: 1, Position: 11})
+		m.report("r", core.RoleReplica, 1, 1, 11)
+		m.SampleFailed(m.now, "s", m.now, OutcomeTimeout)
+		m.SampleFailed(m.now, "l", m.now, OutcomeTimeout)
+		m.AddDemand(m.now, Demand{Point: core.Point{Term: 1, Position: 11}})
+		is.True(!m.IsRunningFailover())
+	}
+	m.Configure(m.now, []Member{{Name: "p"}, {Name: "r"}, {Name: "s"}})
+	is.Equal(m.Confirmed().Position, uint64(11))
+	is.True(m.Availability().IsOpen())
+}
--- a/proxy/promote.go
+++ b/proxy/promote.go
@@ -103,6 +103,10 @@
 		role = core.RolePrimary
 	}
 	r, err := e.fence(term, role)
+	if err == nil && role == core.RolePrimary && r.Fence < term {
+		// A primary that stepped down may still follow one of a lower term.
+		r, err = e.fence(term, core.RoleReplica)
+	}
 	g.control.proxy.event(core.EventFailoverBegun).WithField("group", g.group.name).WithField("endpoint", e.info.Name).WithField("term", term).WithField("held", r.Fence).WithField("point", r.Last.String()).WithError(err).Info("fence requested at an endpoint")
 	g.control.post(context.Background(), func(now time.Time) {
 		g.perform(now, g.machine.FenceDone(now, e.info.Name, term, r.Status, err == nil && r.Fence >= term))
