End sessions by the probes that the platform made, and relay nothing while cut off

Cause: idle sessions of an instance that is not ready ended after a fixed 2.3 s, though the instance sees each probe that it fails.

Change: proxy/readiness.go counts failed probes, for planned stops as well; the fixed time stays as the longest. An instance that reaches no group and nothing outside its data centre rejects sessions that it would have to relay. An instance that did not respond is avoided for all groups, one that refused only for the group that it refused.

TestProbesEndSessionsSooner needs 2.3 s before.

--- a/proxy/control.go
+++ b/proxy/control.go
@@ -46,8 +46,6 @@
 	reassignAt     time.Time
 	// overdue is true once a request is overdue, until all endpoints have responded again.
 	overdue bool
-	// partitioned is true while nothing outside the data centre responds.
-	partitioned bool
 	// unreachableSince is the time since which no group has had a reachable majority;
 	// zero while one has.
 	unreachableSince time.Time
@@ -154,10 +152,10 @@
 		}
 	}
 	partitioned := reach.IsPartitioned(now, core.DataCentre(c.proxy.settings.DataCentre), list)
-	if partitioned == c.partitioned {
+	if partitioned == c.proxy.partitioned.Load() {
 		return
 	}
-	c.partitioned = partitioned
+	c.proxy.partitioned.Store(partitioned)
 	c.proxy.event(core.EventIsolated).WithField("partitioned", partitioned).Warn("reach of other data centres changed")
 	if partitioned {
 		// A single answer disproves it.
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// readinessDelay is how long new sessions still arrive after the instance became not
-	// ready: two failed probes of one second each.
-	readinessDelay = 2300 * time.Millisecond
 	// exitMargin is how long before the kill the process exits by itself.
 	exitMargin = 700 * time.Millisecond
 	// drainPollInterval is the time between two checks of the sessions during a stop.
@@ -44,16 +41,18 @@
 	d.draining.Store(true)
 	p.event(core.EventDraining).WithField("sessions", p.sessionCount()).Info("drain started; not ready for new sessions")
 	startedAt := time.Now()
+	notReadySince := p.now()
 	transactionAge, exitAge := p.settings.GracePeriod/2, p.settings.GracePeriod-exitMargin
 	for {
 		age := time.Since(startedAt)
 		if age >= transactionAge {
 			d.noTransactions.Store(true)
 		}
-		if age >= readinessDelay {
+		moved := p.probes.haveMovedSessions(p.now(), notReadySince)
+		if moved {
 			p.endSessions(age >= transactionAge, anySession)
 		}
-		if age >= readinessDelay && p.sessionCount() == 0 || age >= exitAge {
+		if moved && p.sessionCount() == 0 || age >= exitAge {
 			break
 		}
 		time.Sleep(drainPollInterval)
@@ -65,10 +64,13 @@
 // endIdleWhileIsolated ends idle sessions once new ones no longer arrive here, so that
 // their callers connect to an instance that can serve them.
 func (p *Proxy) endIdleWhileIsolated() {
-	time.Sleep(readinessDelay)
-	if p.isolated.Load() && !p.drainer.isDraining() {
-		p.endSessions(false, anySession)
+	for since := p.now(); !p.probes.haveMovedSessions(p.now(), since); {
+		time.Sleep(drainPollInterval)
+		if !p.isolated.Load() || p.drainer.isDraining() {
+			return
+		}
 	}
+	p.endSessions(false, anySession)
 }
 
 func anySession(*session) bool { return true }
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -271,7 +271,7 @@
 // known not to have been replaced. If proven is set, endpoints that were not sampled yet do
 // not count.
 func (g *groupControl) isReached(now time.Time, proven bool) bool {
-	if g.control.partitioned {
+	if g.control.proxy.partitioned.Load() {
 		return g.machine.HasLocalQuorum()
 	}
 	if g.machine.IsPrimaryWithoutQuorum() && now.Sub(g.machine.Confirmed().AsOf) < 2*leaseCheckInterval {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -73,8 +73,11 @@
 	endpointCount atomic.Int64
 	control       *control
 	drainer       *drainer
+	probes        probes
 	// isolated is true while no group can be reached.
 	isolated atomic.Bool
+	// partitioned is true while nothing outside the data centre responds.
+	partitioned atomic.Bool
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
@@ -103,6 +106,14 @@
 	return p
 }
 
+// AnswerProbe answers a readiness probe of the platform: whether the instance accepts new
+// sessions.
+func (p *Proxy) AnswerProbe() bool {
+	ready := p.IsReady()
+	p.probes.record(p.now(), ready)
+	return ready
+}
+
 // IsReady reports whether the instance accepts new sessions.
 func (p *Proxy) IsReady() bool {
 	return p.placement.Load().complete && !p.drainer.isDraining() && !p.isolated.Load()
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"anviltack/core"
+	failover "anviltack/core/group"
 )
 
 const (
@@ -31,15 +32,13 @@
 // instance has to serve the session, because it is a home instance that reaches the group
 // or no other one accepted it.
 func (p *Proxy) relay(caller *Caller, r Route) bool {
-	placed := p.placement.Load()
-	isServed := placed.groups[r.Group] != nil && placed.monitored != r.Group
-	if isServed && (!p.isLost(r.Group) || p.isolated.Load()) {
+	if p.isCutOff() || p.serves(r.Group) && (!p.isLost(r.Group) || p.isolated.Load()) {
 		return false
 	}
 	for _, peer := range p.relayCandidates(r.Group) {
 		relay, err := p.openRelay(caller, peer, r.Timeout)
 		if err != nil {
-			p.avoidHome(r.Group, peer.Name)
+			p.avoidHome(groupsNotServed(r.Group, err), peer.Name)
 			p.event(core.EventRelay).WithField("group", r.Group).WithField("home", peer.Name).WithError(err).Warn("home instance of the group did not accept the session")
 			continue
 		}
@@ -49,6 +48,26 @@
 	return false
 }
 
+// serves reports whether this instance serves sessions of a group itself rather than relay
+// them.
+func (p *Proxy) serves(g core.Group) bool {
+	placed := p.placement.Load()
+	return placed.groups[g] != nil && placed.monitored != g
+}
+
+// isCutOff reports whether the instance reaches neither a group nor an instance in another
+// data centre.
+func (p *Proxy) isCutOff() bool { return p.isolated.Load() && p.partitioned.Load() }
+
+// groupsNotServed returns the group of which another instance did not accept a session, or
+// allGroups if that instance did not respond.
+func groupsNotServed(g core.Group, err error) core.Group {
+	if failureOf(err) == failover.OutcomeTimeout {
+		return allGroups
+	}
+	return g
+}
+
 // openRelay opens the session at a home instance.
 func (p *Proxy) openRelay(caller *Caller, to Peer, timeout time.Duration) (*Relay, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
@@ -114,7 +133,7 @@
 	return p.placement.Load().groups[name]
 }
 
-// avoidHome relays no session of a group to an instance for avoidDuration.
+// avoidHome relays no session of a group, or of allGroups, to an instance for avoidDuration.
 func (p *Proxy) avoidHome(g core.Group, i core.Instance) {
 	now := p.now()
 	p.avoidedHomes.add(g, i, now, now.Add(avoidDuration))
@@ -134,6 +153,9 @@
 	until map[avoidedInstance]time.Time
 }
 
+// allGroups stands for every group of an avoided instance.
+const allGroups core.Group = ""
+
 // avoidedInstance is a home instance of a group.
 type avoidedInstance struct {
 	group    core.Group
@@ -154,5 +176,5 @@
 func (a *avoidedInstances) has(g core.Group, i core.Instance, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return now.Before(a.until[avoidedInstance{g, i}])
+	return now.Before(a.until[avoidedInstance{g, i}]) || now.Before(a.until[avoidedInstance{allGroups, i}])
 }
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -97,10 +97,32 @@
 		is.Equal(refused.Code, core.CodeNoPrimary)
 		is.True(refused.RetryAfter > 0)
 		receive(t, c.ended, "end of the session")
-		is.True(time.Since(sentAt) < readinessDelay/2)
+		is.True(time.Since(sentAt) < maxReadinessDelay/2)
 	}
 }
 
+// TestProbesEndSessionsSooner checks that idle sessions of an instance that is not ready end
+// once the platform has seen it in two probes, and not only after the longest time that this
+// may take.
+func TestProbesEndSessionsSooner(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	idle := sim.open("idle", "newest")
+	is.NoErr(idle.send(Statement{ID: "1", Kind: KindRead}).Err)
+	is.True(sim.proxy.AnswerProbe())
+	close(sim.stop)
+	sim.waitFor(func() bool { return !sim.proxy.IsReady() })
+	notReadyAt := time.Now()
+	is.True(!sim.proxy.AnswerProbe())
+	time.Sleep(2 * probeMargin)
+	is.NoErr(idle.send(Statement{ID: "2", Kind: KindRead}).Err) // one probe may have been lost
+	is.True(!sim.proxy.AnswerProbe())
+	receive(t, idle.ended, "end of the session")
+	is.True(time.Since(notReadyAt) < maxReadinessDelay-probeMargin)
+}
+
 // TestRefusalIsExplained checks that the log line of a rejected statement has the reason,
 // the caller's id and the age of the last confirmation, and nothing of the statement's
 // text.
