Require an endpoint to prove that it knows the password

Cause: the log-in took AuthenticationOk, or ReadyForQuery alone, also with a password set, so a false endpoint needed none.

Measured: TestLoginRequiresProof; on the code before, Dial returned a connection for both lists of messages.

--- a/io/endpoint/login.go
+++ b/io/endpoint/login.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -12,11 +13,14 @@
 // Login holds the user, password and database of a connection.
 type Login struct {
 	User string
-	// Password is used if the endpoint requests SCRAM-SHA-256; it may be empty.
+	// Password is empty if the endpoint asks for none. Otherwise the endpoint must
+	// authenticate by SCRAM-SHA-256, which proves that it knows the password too.
 	Password string
 	Database string
 }
 
+var errUnauthenticated = errors.New("endpoint: the endpoint accepted the connection without SCRAM-SHA-256 although a password is set")
+
 // logIn performs start-up and authentication.
 func (c *Conn) logIn(login Login) error {
 	c.Send(&pgproto3.StartupMessage{
@@ -26,22 +30,31 @@
 	if err := c.Flush(); err != nil {
 		return err
 	}
+	authenticated := login.Password == ""
 	for {
 		m, err := c.Receive()
 		if err != nil {
 			return err
 		}
 		switch m := m.(type) {
-		case *pgproto3.AuthenticationOk, *pgproto3.ParameterStatus, *pgproto3.NoticeResponse:
+		case *pgproto3.ParameterStatus, *pgproto3.NoticeResponse:
+		case *pgproto3.AuthenticationOk:
+			if !authenticated {
+				return errUnauthenticated
+			}
 		case *pgproto3.AuthenticationSASL:
 			if err := c.authenticate(login); err != nil {
 				return err
 			}
+			authenticated = true
 		case *pgproto3.BackendKeyData:
 			c.cancelKey = pgproto3.BackendKeyData{ProcessID: m.ProcessID, SecretKey: append([]byte(nil), m.SecretKey...)}
 		case *pgproto3.ErrorResponse:
 			return &ResponseError{State: m.Code, Message: m.Message}
 		case *pgproto3.ReadyForQuery:
+			if !authenticated {
+				return errUnauthenticated
+			}
 			return nil
 		default:
 			return fmt.Errorf("endpoint: unexpected %T at start-up", m)
--- a/io/endpoint/login_test.go
+++ b/io/endpoint/login_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"testing"
 
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
 
 	"anviltack/core"
@@ -59,3 +60,45 @@
 	is.True(errors.As(err, &refused))
 	is.Equal(refused.State, core.CodeAuthentication.SQLState())
 }
+
+// TestLoginRequiresProof checks that an endpoint which accepts a connection without proving
+// that it knows the password is rejected, and accepted if no password is set.
+func TestLoginRequiresProof(t *testing.T) {
+	is := is.New(t)
+	messages := map[string][]pgproto3.BackendMessage{
+		"accepted at once":  {&pgproto3.AuthenticationOk{}, &pgproto3.ReadyForQuery{TxStatus: 'I'}},
+		"no authentication": {&pgproto3.ReadyForQuery{TxStatus: 'I'}},
+	}
+	for _, list := range messages {
+		_, err := Dial(context.Background(), "e1", serveMessages(t, list), Login{User: "anviltack", Password: password, Database: "index"})
+		is.True(errors.Is(err, errUnauthenticated))
+		c, err := Dial(context.Background(), "e1", serveMessages(t, list), Login{User: "anviltack", Database: "index"})
+		is.NoErr(err)
+		c.Close()
+	}
+}
+
+// serveMessages accepts one connection and answers its start-up with messages.
+func serveMessages(t *testing.T, list []pgproto3.BackendMessage) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		b := pgproto3.NewBackend(conn, conn)
+		if _, err := b.ReceiveStartupMessage(); err != nil {
+			return
+		}
+		for _, m := range list {
+			b.Send(m)
+		}
+		_ = b.Flush()
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
