Give each process of tests and stand-ins a loopback address of its own

Tests choose a port, release it and bind it later; another suite may take it in between, and the harness threw the participant's error away.

Change: standin/loopback reserves ports on an address that no other process uses, never twice; the harness fails the test with the error of a participant that ended by itself.

--- a/process/harness_test.go
+++ b/process/harness_test.go
@@ -5,15 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +21,7 @@
 	"anviltack/io/caller"
 	"anviltack/io/operator"
 	"anviltack/standin/endpoint"
+	"anviltack/standin/loopback"
 	"anviltack/standin/platform"
 )
 
@@ -306,30 +304,12 @@
 	return stats.Calls
 }
 
-// Range of ports that the tests listen on; the ephemeral ports of outgoing
-// connections are above it.
-const (
-	firstPort = 18000
-	lastPort  = 32000
-)
-
-// nextPort is the offset of the last port that was tried. It starts at random so
-// that concurrent test runs seldom collide.
-var nextPort atomic.Uint32
-
-func init() { nextPort.Store(rand.Uint32N(lastPort - firstPort)) }
-
-// freeAddress returns an unused loopback address. It cycles through the whole
-// range before it returns an address again.
+// freeAddress returns an unused loopback address.
 func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
-	for range lastPort - firstPort {
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+nextPort.Add(1)%(lastPort-firstPort)))
-		if l, err := net.Listen("tcp", address.String()); err == nil {
-			_ = l.Close()
-			return address
-		}
+	address, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free address")
-	return netip.AddrPort{}
+	return address
 }
--- a/standin/demo/harness.go
+++ b/standin/demo/harness.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -17,6 +16,7 @@
 
 	"anviltack/core"
 	"anviltack/standin/endpoint"
+	"anviltack/standin/loopback"
 )
 
 const (
@@ -103,19 +103,12 @@
 // freePorts returns n loopback addresses with unused ports.
 func freePorts(n int) ([]netip.AddrPort, error) {
 	var out []netip.AddrPort
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := loopback.Reserve()
 		if err != nil {
 			return nil, fmt.Errorf("demo: %w", err)
 		}
-		listeners = append(listeners, l)
-		out = append(out, netip.MustParseAddrPort(l.Addr().String()))
+		out = append(out, address)
 	}
 	return out, nil
 }
--- a/standin/harness/harness.go
+++ b/standin/harness/harness.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -25,6 +24,7 @@
 	"anviltack/io/caller"
 	"anviltack/settings"
 	"anviltack/standin/endpoint"
+	"anviltack/standin/loopback"
 )
 
 // Timeout bounds every wait; no script depends on its length.
@@ -97,12 +97,11 @@
 // freeAddress returns an unused loopback address.
 func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close() //nolint:errcheck // The address is free from here on.
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return address
 }
 
 func (h *Harness) spawn(p *participant, run func(context.Context) error) {
@@ -113,7 +112,9 @@
 	go func() {
 		defer h.running.Done()
 		defer close(p.done)
-		_ = run(ctx)
+		if err := run(ctx); err != nil && ctx.Err() == nil {
+			h.t.Errorf("the participant at %s ended: %v", p.address, err)
+		}
 	}()
 }
 
