--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -342,7 +342,7 @@
 		return
 	}
 	e.sampleFailing = err != nil
-	e.groupControl.control.proxy.event(core.EventSampleFailed).WithField("group", e.groupControl.group.name).WithField("endpoint", e.info.Name).WithField("failing", e.sampleFailing).WithError(err).Info("endpoint sampling state changed")
+	withError(e.groupControl.control.proxy.event(core.EventSampleFailed).WithField("group", e.groupControl.group.name).WithField("endpoint", e.info.Name).WithField("failing", e.sampleFailing), err).Info("endpoint sampling state changed")
 }
 
 // recordFullLocked delays the next attempt to connect if the endpoint accepts no more
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -9,7 +8,6 @@
 
 	"anviltack/core"
 	failover "anviltack/core/group"
-	"anviltack/core/home"
 	"anviltack/core/lease"
 	"anviltack/core/mark"
 )
@@ -152,110 +150,6 @@
 	return g
 }
 
-// configure applies the list of the group's endpoints. An endpoint whose process was
-// restarted under its name is treated as a new endpoint.
-func (g *groupControl) configure(now time.Time, list []Endpoint, s GroupSettings, homes []core.Instance) {
-	g.homes = homes
-	listed := make(map[core.Endpoint]bool, len(list))
-	// unknownPrimary is an endpoint that is listed as a primary and is not the one that
-	// machine has.
-	var unknownPrimary core.Endpoint
-	_, knownPrimary := g.machine.Primary()
-	for _, l := range list {
-		if l.Role == core.RolePrimary && l.Name != knownPrimary {
-			unknownPrimary = l.Name
-		}
-		e := g.endpoints[l.Name]
-		if e != nil && (e.info.Address != l.Address || e.info.StartedAt != l.StartedAt) {
-			g.removeEndpoint(now, e)
-			e = nil
-		}
-		if e == nil {
-			e = newEndpoint(g, l)
-			g.endpoints[l.Name] = e
-			g.control.proxy.event(core.EventEndpoint).WithField("group", g.group.name).WithField("endpoint", l.Name).WithField("address", l.Address).Info("endpoint listed")
-		}
-		listed[l.Name] = true
-		e.leaving.Store(l.Leaving)
-		e.setShare(s.MaxConnections, len(g.homes))
-	}
-	for name, e := range g.endpoints {
-		if !listed[name] {
-			g.removeEndpoint(now, e)
-			g.control.proxy.event(core.EventEndpoint).WithField("group", g.group.name).WithField("endpoint", name).Info("endpoint no longer listed")
-		}
-	}
-	g.updateMembers(now)
-	if _, primary := g.machine.Primary(); unknownPrimary != "" && unknownPrimary != primary {
-		g.perform(now, g.machine.SampleAll(now))
-	}
-}
-
-// removeEndpoint drops an endpoint and everything that it reported: another process
-// under its name has none of that state.
-func (g *groupControl) removeEndpoint(now time.Time, e *endpoint) {
-	e.close()
-	delete(g.endpoints, e.info.Name)
-	g.updateMembers(now)
-}
-
-// updateMembers updates the members of tracker and machine.
-func (g *groupControl) updateMembers(now time.Time) {
-	g.updateTracker()
-	g.rank = g.computeRank()
-	g.updateRank()
-	members := make([]failover.Member, 0, len(g.endpoints))
-	for _, e := range g.endpoints {
-		members = append(members, failover.Member{Name: e.info.Name, DataCentre: e.info.DataCentre, Leaving: e.leaving.Load(), SameDataCentre: string(e.info.DataCentre) == g.control.proxy.settings.DataCentre})
-	}
-	g.perform(now, g.machine.Configure(now, members))
-}
-
-// updateTracker replaces the tracker if the members changed. The samples of the old one
-// stay valid.
-func (g *groupControl) updateTracker() {
-	names := make([]core.Endpoint, 0, len(g.endpoints))
-	for name := range g.endpoints {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	if !slices.Equal(names, g.trackedNames) {
-		samples := g.tracker.History()
-		g.trackedNames = names
-		g.tracker = mark.NewTracker(names...)
-		*g.tracker.History() = *samples
-	}
-}
-
-// computeRank returns this instance's rank among the home instances; others rank after
-// them. Those in the primary's data centre come last: a failure of that data centre is theirs
-// as well.
-func (g *groupControl) computeRank() int {
-	homes := make([]home.Instance, 0, len(g.homes))
-	for _, i := range g.homes {
-		homes = append(homes, home.Instance{Name: i, DataCentre: g.control.lastListed[i].peer.DataCentre})
-	}
-	var primary core.DataCentre
-	if e := g.endpoints[g.rankedFor]; e != nil {
-		primary = e.info.DataCentre
-	}
-	return home.Rank(g.control.self(), homes, g.group.name, primary)
-}
-
-// updateRank sets the rank of the machine. An instance that cannot reach the lease store
-// ranks after all others.
-func (g *groupControl) updateRank() {
-	if _, primary := g.machine.Primary(); primary != g.rankedFor {
-		g.rankedFor = primary
-		g.rank = g.computeRank()
-	}
-	rank := g.rank
-	if !g.control.proxy.dependencies.LeaseStore.IsHealthy() {
-		rank += len(g.homes)
-	}
-	g.machine.SetRank(rank, 1)
-}
-
 // tick runs periodic work of the group and the timers of the machine.
 func (g *groupControl) tick(now time.Time) {
 	g.updateRank()
@@ -363,119 +257,3 @@
 		g.control.proxy.event(core.EventPrimary).WithField("group", g.group.name).WithField("term", term).WithField("primary", primary).Info("term or primary changed")
 	}
 }
-
-// sample requests an endpoint's status.
-func (g *groupControl) sample(e *endpoint, sentAt time.Time, newConnection bool) {
-	r, upSince, err := e.sample(newConnection)
-	g.control.post(context.Background(), func(now time.Time) {
-		if g.endpoints[e.info.Name] != e {
-			return
-		}
-		e.noteSampleResult(err)
-		if err != nil {
-			g.perform(now, g.machine.SampleFailed(now, e.info.Name, sentAt, failureOf(err)))
-			return
-		}
-		e.recordSample(now, r)
-		if g.hasCaughtUp(e, r) {
-			// Endpoints compare positions by the term of the log entry.
-			status := r.Status
-			status.Term = r.Last.Term
-			g.tracker.Observe(e.info.Name, sentAt, status)
-		}
-		g.machine.SetUpSince(e.info.Name, upSince)
-		g.perform(now, g.machine.Sampled(now, e.info.Name, sentAt, r.Status))
-		g.fenceOldPrimary(e, r)
-	})
-}
-
-// hasCaughtUp reports whether the endpoint has reached the newest known point of the group
-// since it was listed. The status of an endpoint that started empty would make an old log
-// count as fresh.
-func (g *groupControl) hasCaughtUp(e *endpoint, r Report) bool {
-	newest, ok := g.tracker.History().Newest()
-	e.caughtUp = e.caughtUp || !ok || !r.Last.Less(newest.Point)
-	return e.caughtUp
-}
-
-// checkPrimary requests an answer that the endpoint gives only if it considers itself the
-// primary.
-func (g *groupControl) checkPrimary(e *endpoint, sentAt time.Time, newConnection bool) {
-	var point core.Point
-	_, upSince, err := e.request(newConnection, func(c *Conn) (Report, error) {
-		var err error
-		point, err = c.CheckPrimary(sampleTimeout)
-		return Report{}, err
-	})
-	g.control.post(context.Background(), func(now time.Time) {
-		switch {
-		case g.endpoints[e.info.Name] != e:
-		case err == nil:
-			g.recordPrimaryCheck(now, e, primaryCheck{sentAt: sentAt, upSince: upSince, point: point})
-		case errorKindOf(err) == ErrorKindReadOnly:
-			g.perform(now, g.machine.PrimaryCheckRejected(now, e.info.Name, sentAt))
-		default:
-			e.noteSampleResult(err)
-			g.perform(now, g.machine.SampleFailed(now, e.info.Name, sentAt, failureOf(err)))
-		}
-	})
-}
-
-// primaryCheck is an answer that only a primary gives.
-type primaryCheck struct {
-	sentAt time.Time
-	// upSince is a time since which the endpoint's process is known to have run.
-	upSince time.Time
-	// point is the end of the primary's log; zero if the answer did not contain it.
-	point core.Point
-}
-
-// recordPrimaryCheck records an answer that only a primary gives.
-func (g *groupControl) recordPrimaryCheck(now time.Time, e *endpoint, c primaryCheck) {
-	e.noteSampleResult(nil)
-	if p := c.point; p != (core.Point{}) {
-		g.tracker.Observe(e.info.Name, c.sentAt, core.Status{Role: core.RolePrimary, Term: p.Term, Received: p.Position, Last: p})
-	}
-	g.machine.SetUpSince(e.info.Name, c.upSince)
-	g.perform(now, g.machine.PrimaryCheckPassed(now, e.info.Name, c.sentAt, c.point))
-}
-
-// fenceOldPrimary fences a replaced primary that still considers itself the primary.
-func (g *groupControl) fenceOldPrimary(e *endpoint, r Report) {
-	term, primary := g.machine.Primary()
-	if r.Role == core.RolePrimary && r.Term < term && primary != "" && primary != e.info.Name {
-		go func() {
-			_, err := e.fence(term, core.RolePrimary)
-			g.control.proxy.event(core.EventPrimary).WithField("group", g.group.name).WithField("endpoint", e.info.Name).WithField("term", term).WithField("failed", err != nil).Info("fence requested at the replaced primary")
-		}()
-	}
-}
-
-// postPrimaryCheck passes an answer that only a primary gives to the control goroutine.
-func (g *groupControl) postPrimaryCheck(e *endpoint, c primaryCheck) {
-	g.control.tryPost(func(now time.Time) {
-		if g.endpoints[e.info.Name] == e {
-			g.recordPrimaryCheck(now, e, c)
-		}
-	})
-}
-
-// postOverdue passes an overdue request to the control goroutine.
-func (g *groupControl) postOverdue(e *endpoint, sentAt time.Time) {
-	g.control.tryPost(func(now time.Time) {
-		if g.endpoints[e.info.Name] == e {
-			g.control.overdue = true
-			g.perform(now, g.machine.RequestOverdue(now, e.info.Name, sentAt))
-		}
-	})
-}
-
-// postTrafficOutcome passes the outcome of a statement or connection attempt to the
-// control goroutine.
-func (g *groupControl) postTrafficOutcome(e *endpoint, o failover.Outcome) {
-	g.control.tryPost(func(now time.Time) {
-		if g.endpoints[e.info.Name] == e {
-			g.perform(now, g.machine.TrafficOutcome(now, e.info.Name, o))
-		}
-	})
-}
--- a/proxy/promote.go
+++ b/proxy/promote.go
@@ -81,7 +81,7 @@
 func (g *groupControl) acquireAndFence(term uint64, endpoints []*endpoint) {
 	p := g.control.proxy
 	l, err := g.acquireLease()
-	p.event(core.EventTurn).WithField("group", g.group.name).WithField("token", l.token).WithField("revision", l.revision.String()).WithError(err).Info("promotion lease requested")
+	withError(p.event(core.EventTurn).WithField("group", g.group.name).WithField("token", l.token).WithField("revision", l.revision.String()), err).Info("promotion lease requested")
 	if err != nil {
 		g.control.post(context.Background(), func(now time.Time) { g.perform(now, g.machine.PostponeFailover(now, acquireRetryDelay)) })
 		return
@@ -107,7 +107,7 @@
 		// A primary that stepped down may still follow one of a lower term.
 		r, err = e.fence(term, core.RoleReplica)
 	}
-	g.control.proxy.event(core.EventFailoverBegun).WithField("group", g.group.name).WithField("endpoint", e.info.Name).WithField("term", term).WithField("held", r.Fence).WithField("point", r.Last.String()).WithError(err).Info("fence requested at an endpoint")
+	withError(g.control.proxy.event(core.EventFailoverBegun).WithField("group", g.group.name).WithField("endpoint", e.info.Name).WithField("term", term).WithField("held", r.Fence).WithField("point", r.Last.String()), err).Info("fence requested at an endpoint")
 	g.control.post(context.Background(), func(now time.Time) {
 		g.perform(now, g.machine.FenceDone(now, e.info.Name, term, r.Status, err == nil && r.Fence >= term))
 	})
@@ -159,7 +159,7 @@
 	defer cancel()
 	l.value.Released = true
 	_, err := g.control.proxy.dependencies.LeaseStore.CompareAndSwap(ctx, string(g.group.name), l.revision, l.value.String())
-	g.control.proxy.event(core.EventTurn).WithField("group", g.group.name).WithField("token", l.token).WithError(err).Info("release of the promotion lease requested")
+	withError(g.control.proxy.event(core.EventTurn).WithField("group", g.group.name).WithField("token", l.token), err).Info("release of the promotion lease requested")
 }
 
 // acquireLease acquires the group's promotion lease.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -219,5 +219,13 @@
 	return p.log.WithField("event", int(e))
 }
 
+// withError adds an error to a log entry if there is one.
+func withError(entry *logrus.Entry, err error) *logrus.Entry {
+	if err == nil {
+		return entry
+	}
+	return entry.WithError(err)
+}
+
 // now reads the clock that also advances while the process is suspended.
 func (p *Proxy) now() time.Time { return p.dependencies.Now() }
--- a/proxy/store_era.go
+++ b/proxy/store_era.go
@@ -48,6 +48,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), lease.Duration)
 	defer cancel()
 	written, err := g.control.proxy.dependencies.LeaseStore.CompareAndSwap(ctx, string(g.group.name), revision, lease.EraValue(revision.Era).String())
-	g.control.proxy.event(core.EventTurn).WithField("group", g.group.name).WithField("era", revision.Era).WithField("written", written.Number > 0).WithError(err).Info("end of the promotion leases of earlier eras recorded")
+	withError(g.control.proxy.event(core.EventTurn).WithField("group", g.group.name).WithField("era", revision.Era).WithField("written", written.Number > 0), err).Info("end of the promotion leases of earlier eras recorded")
 	g.control.post(context.Background(), g.resolveFences)
 }
