Contain a panic of a session instead of ending the process

Cause: a fault in the handling of one message, of a caller or an endpoint, ended the process and with it all sessions of the users' platform: nothing recovered in the goroutine of a session (one of the failures that other operators told of).

Change: the session ends, its endpoint connection is closed and its place is given back, a line of event 401 at level error has the stack, and the metric session_panics counts it.

Ruled out: a planned stop of the process instead, which a message that always panics would turn into restarts without end.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -30,6 +30,12 @@
 // pipelineSetup is set, the setup statements are sent in the same batch; this is allowed
 // only for a statement that may run even if its setup failed.
 func (s *session) exchange(c *endpointConn, timeout time.Duration, st Statement, pipelineSetup bool) (Answer, error) {
+	defer func() {
+		if r := recover(); r != nil {
+			c.release(false)
+			panic(r)
+		}
+	}()
 	setup := c.setup(s, &st)
 	s.proxy.counts.ownStatements.Inc(int64(len(setup)))
 	if !pipelineSetup && len(setup) > 0 {
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -26,6 +26,7 @@
 	eventsDropped   metrics.Counter
 	relayed         metrics.Counter
 	relaysLost      metrics.Counter
+	sessionPanics   metrics.Counter
 	storeRestores   metrics.Counter
 	readTime        metrics.Histogram
 	writeTime       metrics.Histogram
@@ -47,6 +48,7 @@
 		eventsDropped:   metrics.GetOrRegisterCounter("control_events_dropped", r),
 		relayed:         metrics.GetOrRegisterCounter("sessions_relayed", r),
 		relaysLost:      metrics.GetOrRegisterCounter("relayed_statements_lost", r),
+		sessionPanics:   metrics.GetOrRegisterCounter("session_panics", r),
 		storeRestores:   metrics.GetOrRegisterCounter("store_restores", r),
 		readTime:        histogram("read_ns"),
 		writeTime:       histogram("write_ns"),
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +52,7 @@
 
 // serve starts a session on a connection and serves it until it ends.
 func (p *Proxy) serve(conn net.Conn, start func(net.Conn) (*Caller, error)) {
+	defer p.containPanic(func() { _ = conn.Close() })
 	caller, err := start(conn)
 	if err != nil {
 		_ = conn.Close()
@@ -58,6 +61,18 @@
 	p.serveCaller(caller)
 }
 
+// containPanic ends the session of the goroutine that panicked, so that one message which the
+// code cannot handle does not end all others.
+func (p *Proxy) containPanic(end func()) {
+	r := recover()
+	if r == nil {
+		return
+	}
+	end()
+	p.counts.sessionPanics.Inc(1)
+	p.event(core.EventSessionError).WithField("stack", string(debug.Stack())).WithError(fmt.Errorf("proxy: panic: %v", r)).Error("session ended by a fault of this program")
+}
+
 // serveCaller serves or relays a started session until it ends.
 func (p *Proxy) serveCaller(caller *Caller) {
 	defer caller.Close()
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 
 	"anviltack/core"
 )
@@ -89,6 +90,8 @@
 		f.fencedLate = on
 	case "stuck":
 		f.notApplying = on
+	case "garbled":
+		f.garbled = on
 	case "lose":
 		f.loseAnswer = on
 	case "fault":
@@ -173,3 +176,18 @@
 	}
 	return strings.Join(slices.Concat(a.Rows, []string{a.Proof}), "; ") + state
 }
+
+// TestPanicsKeepCapacity checks that sessions which end by a panic give back their
+// connections: more of them than the instance may have statements in flight.
+func TestPanicsKeepCapacity(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	for n := range 10 {
+		sim.setField(sim.find("p"), "garbled", "yes")
+		is.Equal(sim.open(strconv.Itoa(n), "newest").send(Statement{ID: strconv.Itoa(n), Kind: KindWrite}).Err, errDisconnected)
+	}
+	is.NoErr(sim.open("last", "newest").send(Statement{ID: "last", Kind: KindWrite}).Err)
+	is.Equal(sim.proxy.counts.sessionPanics.Count(), int64(10))
+}
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -33,6 +33,8 @@
 	unreachable, notReceiving, notApplying bool
 	// fencedLate delays fences until an endpoint was promoted.
 	fencedLate bool
+	// garbled makes the next answer to a caller one that the instance cannot handle.
+	garbled bool
 	// loseAnswer drops the answer to the next statement of a caller, which is executed.
 	loseAnswer bool
 	// fault is the answer to the next statement of a caller, which is not executed.
@@ -341,6 +343,10 @@
 	}
 	c.sim.mu.Lock()
 	defer c.sim.mu.Unlock()
+	if c.fake.garbled {
+		c.fake.garbled = false
+		panic("garbled answer")
+	}
 	var answers []Answer
 	for _, st := range statements {
 		if st.ID != "" && c.fake.fault != "" {
@@ -484,8 +490,9 @@
 	}
 	s.callers[name] = c
 	go func() {
+		defer close(c.ended)
+		defer s.proxy.containPanic(func() {})
 		s.proxy.serveCaller(caller)
-		close(c.ended)
 	}()
 	return c
 }
