Contain a panic of a PostgreSQL session as well

Cause: as on the users' platform, a fault in the handling of one message ended the process.

Change: the goroutine of a session recovers; the session's end releases the slot and the connection of the statement that ran, as it did for an open transaction.

Measured: TestPanicsKeepSlots, in which reads panic once they have a connection; without the release in the session's end the fourth waits for a slot for ever.

--- a/instance/read_test.go
+++ b/instance/read_test.go
@@ -271,3 +271,26 @@
 	is.True(!(&pipeline{executions: 2, annotation: annotation{kind: "series"}}).isRead())
 	is.True(!(&pipeline{executions: 1}).isRead())
 }
+
+// TestPanicsKeepSlots checks that statements which end by a panic give back their slots and
+// connections: more of them than the endpoint has slots.
+func TestPanicsKeepSlots(t *testing.T) {
+	is := is.New(t)
+	s, pl, _ := newReader(t, correctResponses)
+	m := s.group.State().Members["r"]
+	stats := m.readStats
+	pl.deadline = time.Now().Add(10 * time.Second)
+	m.readStats = nil // so that a read panics once it has its connection
+	for range 5 {
+		func() {
+			defer s.instance.containPanic()
+			defer s.end()
+			_, _ = s.readOn(pl, s.group.State(), m)
+			t.Error("the read did not panic")
+		}()
+	}
+	m.readStats = stats
+	is.Equal(m.pool.dump().Busy, 0)
+	is.NoErr(s.serveRead(pl))
+	is.Equal(s.instance.counters.readsOnReplica.Count(), int64(1))
+}
--- a/instance/session.go
+++ b/instance/session.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -53,10 +55,13 @@
 	state sessionState
 	// transaction is the open transaction, or nil.
 	transaction *transaction
+	// attempt is the attempt that holds a connection, or nil.
+	attempt *attempt
 }
 
 // serveCaller serves one caller connection until the session ends.
 func (in *Instance) serveCaller(ctx context.Context, nc net.Conn) {
+	defer in.containPanic()
 	conn := caller.NewConn(nc, in.settings.Message)
 	defer conn.Close()
 	defer context.AfterFunc(ctx, conn.Close)()
@@ -79,6 +84,14 @@
 	}
 }
 
+// containPanic ends the session of the goroutine that panicked, so that one message which the
+// code cannot handle does not end all others.
+func (in *Instance) containPanic() {
+	if r := recover(); r != nil {
+		in.event(core.EventSessionError).WithField("stack", string(debug.Stack())).WithError(fmt.Errorf("instance: panic: %v", r)).Error("session ended by a fault of this program")
+	}
+}
+
 // startupTimeout bounds start-up and authentication of a caller connection.
 const startupTimeout = 10 * time.Second
 
@@ -291,8 +304,12 @@
 	return 'I'
 }
 
-// end closes the connection of an open transaction and unregisters the session.
+// end closes the connection of an open transaction, or of a statement that a panic ended, and
+// unregisters the session.
 func (s *session) end() {
+	if s.attempt != nil {
+		s.attempt.release(false)
+	}
 	if s.transaction != nil {
 		s.transaction.pool.release(s.transaction.conn, false)
 		s.transaction = nil
--- a/instance/write.go
+++ b/instance/write.go
@@ -71,6 +71,7 @@
 	s.setRunning(conn)
 	a := &attempt{session: s, pipeline: pl, member: m, term: term, conn: conn, exchange: newExchange(conn, s.conn)}
 	a.exchange.restoreState(s.state)
+	s.attempt = a
 	return a, nil
 }
 
@@ -99,6 +100,7 @@
 	}
 	if o.status != 'I' {
 		a.session.transaction = &transaction{conn: a.conn, pool: a.member.pool, term: a.term}
+		a.session.attempt = nil
 		a.session.clearRunning()
 		a.member.pool.releaseSlot(a.conn)
 		return false, a.session.sendReady(o.status)
@@ -176,6 +178,7 @@
 
 // release returns the connection to its pool.
 func (a *attempt) release(clean bool) {
+	a.session.attempt = nil
 	reusable := a.session.clearRunning()
 	a.member.pool.release(a.conn, clean && reusable)
 }
