--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -41,7 +41,7 @@
 
 // Queue is the queue of one endpoint.
 type Queue struct {
-	// waiters are in the order in which they are served.
+	// waiters are in the order in which they are served while the queue is not overloaded.
 	waiters []Waiter
 	// serviceTime is the average time for which a statement occupies its connection;
 	// zero before the first observation.
