Identify callers by the keys of organisations

Cause: the configuration's organisations and keys were not read, so unknown and withdrawn keys were served and endpoints learned the program's name. Change: keys are resolved against the version in force at the start of each session, statement and transaction; sessions of withdrawn keys end. The queue's waiters carry an organisation. Ruled out: a cache of the key in the session, which may go stale.

--- a/core/code.go
+++ b/core/code.go
@@ -26,6 +26,7 @@
 	CodeTransactionIdle   Code = 2009
 	CodeReadFailed        Code = 2010
 	CodeFairShare         Code = 2011
+	CodeLimitReached      Code = 2012
 	CodeOutcomeUnknown    Code = 3001
 	CodeBadMessage        Code = 4001
 	CodeTooLarge          Code = 4002
@@ -39,6 +40,7 @@
 	CodeKeyReused         Code = 4010
 	CodeTooManyCallers    Code = 4011
 	CodeUnknownPrepared   Code = 4013
+	CodeUnknownKey        Code = 4014
 	CodePatchConflict     Code = 5001
 	CodePatchInvalid      Code = 5002
 	CodePatchUnknown      Code = 5003
@@ -58,6 +60,7 @@
 	stateBadParameter   = "22023"
 	statePassword       = "28P01"
 	stateNotAllowed     = "42501"
+	stateNotAuthorized  = "28000"
 	stateNoDatabase     = "3D000"
 	stateDuplicate      = "23505"
 	stateShutdown       = "57P01"
@@ -79,6 +82,7 @@
 	CodeTransactionIdle: stateIdle,
 	CodeReadFailed:      stateUnavailable,
 	CodeFairShare:       stateTooMany,
+	CodeLimitReached:    stateTooMany,
 	CodeOutcomeUnknown:  stateUnknownOutcome,
 	CodeBadMessage:      stateProtocol,
 	CodeTooLarge:        stateTooLarge,
@@ -92,6 +96,7 @@
 	CodeKeyReused:       stateBadParameter,
 	CodeTooManyCallers:  stateTooMany,
 	CodeUnknownPrepared: stateNoStatement,
+	CodeUnknownKey:      stateNotAuthorized,
 }
 
 // SQLState returns the SQLSTATE of the code, "XX000" for codes that are never sent
--- a/core/event.go
+++ b/core/event.go
@@ -20,6 +20,7 @@
 	EventFailover      Event = 303
 	EventSessionError  Event = 401
 	EventRefused       Event = 402
+	EventKeyDenied     Event = 403
 	EventStore         Event = 500
 	EventMembers       Event = 501
 	EventEndpoint      Event = 502
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -8,12 +8,18 @@
 	"slices"
 	"sort"
 	"time"
+
+	"anviltack/core"
 )
 
 // Waiter is a waiting statement.
 type Waiter struct {
 	// ID is unique in the queue.
 	ID uint64
+	// Organisation is that of the statement's caller; empty for none.
+	Organisation core.Organisation
+	// Weight is the share of its organisation in relation to others; zero stands for one.
+	Weight float64
 	// Priority is lower for more important statements.
 	Priority int
 	// Deadline is when the statement's operation should be complete.
@@ -136,19 +142,21 @@
 }
 
 // Pop removes and returns the next waiter: the first one, or the one of its priority that came
-// last while the queue is overloaded.
-func (q *Queue) Pop(now time.Time) (Waiter, bool) {
-	if len(q.waiters) == 0 {
-		return Waiter{}, false
-	}
-	next := 0
-	if q.isOverloaded(now) {
-		for i := range q.firstOfPriority(q.waiters[0].Priority + 1) {
-			if q.waiters[i].ID > q.waiters[next].ID {
-				next = i
-			}
+// last while the queue is overloaded. Waiters of organisations that are not usable are passed
+// over; a nil function makes all usable.
+func (q *Queue) Pop(now time.Time, usable func(core.Organisation) bool) (Waiter, bool) {
+	next := -1
+	for i, w := range q.waiters {
+		if next >= 0 && (!q.isOverloaded(now) || w.Priority != q.waiters[next].Priority) {
+			break
+		}
+		if (usable == nil || usable(w.Organisation)) && (next < 0 || w.ID > q.waiters[next].ID) {
+			next = i
 		}
 	}
+	if next < 0 {
+		return Waiter{}, false
+	}
 	w := q.waiters[next]
 	q.removeAt(next)
 	return w, true
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -17,7 +17,7 @@
 func drain(q *Queue) []uint64 {
 	var ids []uint64
 	for {
-		w, ok := q.Pop(epoch)
+		w, ok := q.Pop(epoch, nil)
 		if !ok {
 			return ids
 		}
@@ -84,12 +84,12 @@
 				in++
 			}
 		}
-		last, ok := q.Pop(epoch)
+		last, ok := q.Pop(epoch, nil)
 		for n := 0; n < in; n++ {
 			if !ok {
 				t.Fatalf("%d of %d came out", n, in)
 			}
-			next, more := q.Pop(epoch)
+			next, more := q.Pop(epoch, nil)
 			if more && (compareWaiters(last, next) > 0 || compareWaiters(last, next) == 0 && last.ID > next.ID) {
 				t.Fatalf("%v before %v", last, next)
 			}
--- a/core/queue/return_test.go
+++ b/core/queue/return_test.go
@@ -86,7 +86,7 @@
 	is.True(ok)
 	is.Equal(w.ID, uint64(0))
 	for _, id := range []uint64{4, 3, 2, 1} {
-		w, _ = q.Pop(overloaded)
+		w, _ = q.Pop(overloaded, nil)
 		is.Equal(w.ID, id)
 	}
 	is.True(q.Add(overloaded, waiter(5, 2, time.Second), 1))
--- a/core/queue/shed_test.go
+++ b/core/queue/shed_test.go
@@ -141,7 +141,7 @@
 	if o.inOrder {
 		s.waitingSince = o.time()
 	}
-	if w, ok := s.Pop(o.time()); ok {
+	if w, ok := s.Pop(o.time(), nil); ok {
 		s.active = true
 		s.pending[w.ID]()
 		delete(s.pending, w.ID)
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -30,6 +30,8 @@
 	TargetTime time.Duration
 	// Priority is lower for more important routes.
 	Priority int
+	// Public routes serve callers without a known key too.
+	Public bool
 	// shortestTarget is the shortest TargetTime of all routes of the group.
 	shortestTarget time.Duration
 }
@@ -41,11 +43,26 @@
 	MaxConnections int
 }
 
+// OrganisationSettings is the configuration of an organisation.
+type OrganisationSettings struct {
+	Keys []core.Key
+	// Rate and Burst limit the operations of the organisation over all instances: in any
+	// period at most Rate for each second of it and Burst more. A Rate of zero stands for no
+	// limit.
+	Rate  float64
+	Burst float64
+}
+
 // Config is one version of the configuration. It is immutable once in force.
 type Config struct {
 	Version uint64
 	Routes  map[core.Database]Route
 	Groups  map[core.Group]GroupSettings
+	// Organisations are those whose callers are served. If it is nil, callers are not
+	// identified and belong to no organisation.
+	Organisations map[core.Organisation]OrganisationSettings
+	// keyHolders are the organisations by their keys.
+	keyHolders map[core.Key]core.Organisation
 	// TransactionIdleTimeout is how long a transaction may stay idle.
 	TransactionIdleTimeout time.Duration
 }
--- a/proxy/control.go
+++ b/proxy/control.go
@@ -194,9 +194,11 @@
 		return
 	}
 	config.setShortestTargets()
+	config.indexKeys()
 	c.proxy.config.Store(config)
 	c.homes = nil
 	c.reconcileGroups()
+	c.proxy.endDeniedSessions(config)
 	c.proxy.event(core.EventConfig).WithField("version", config.Version).WithField("routes", len(config.Routes)).Info("configuration in force")
 }
 
--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -29,7 +29,9 @@
 // Caller is the connection of one caller.
 type Caller struct {
 	Database core.Database
-	Name     core.Caller
+	// Key is what the caller presented to show its organisation; any text where the
+	// configuration names no organisations.
+	Key core.Key
 	// Ready tells the caller that its session has started.
 	Ready func() error
 	// Next returns the caller's next statement. It fails if none arrives within timeout;
@@ -61,7 +63,9 @@
 
 // Endpoints implements the protocol between the instance and endpoints.
 type Endpoints struct {
-	Dial func(ctx context.Context, e Endpoint) (*Conn, error)
+	// Dial opens a connection for the statements of an organisation; for those of the
+	// instance itself if the organisation is empty.
+	Dial func(ctx context.Context, e Endpoint, o core.Organisation) (*Conn, error)
 }
 
 // Conn is a connection to an endpoint. Only one goroutine may use it at a time.
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -316,7 +316,7 @@
 	p := e.groupControl.control.proxy
 	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 	defer cancel()
-	c, err := p.dependencies.Endpoints.Dial(ctx, e.info)
+	c, err := p.dependencies.Endpoints.Dial(ctx, e.info, "")
 	p.counts.connections.Inc(1)
 	if err == nil {
 		e.noteResponse(p.now())
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -73,8 +73,10 @@
 
 // connectionRequest is a statement's request for a connection.
 type connectionRequest struct {
-	priority int
-	deadline time.Time
+	// organisation is that of the statement's caller; empty for none.
+	organisation core.Organisation
+	priority     int
+	deadline     time.Time
 	// maxWait is how long the request may wait.
 	maxWait time.Duration
 	// target is that of the statement's route; shortestTarget is the shortest of the
@@ -87,7 +89,7 @@
 // and the time remaining until its timeout.
 func (s *session) connectionRequest(e *endpoint, r Route, arrived time.Time, remaining time.Duration) connectionRequest {
 	return connectionRequest{
-		priority: s.queuePriority(r, arrived), deadline: arrived.Add(r.TargetTime), maxWait: e.maxWait(arrived, remaining, r),
+		organisation: s.organisation, priority: s.queuePriority(r, arrived), deadline: arrived.Add(r.TargetTime), maxWait: e.maxWait(arrived, remaining, r),
 		target: r.TargetTime, shortestTarget: r.shortestTarget,
 	}
 }
@@ -164,7 +166,7 @@
 		if c == nil {
 			break
 		}
-		w, _ := e.queue.Pop(now)
+		w, _ := e.queue.Pop(now, nil)
 		c.grantedAt = now
 		e.inFlight++
 		e.waiters[w.ID] <- grant{conn: c}
@@ -196,7 +198,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
 	overdue := e.watchOverdue(p.now())
-	c, err := p.dependencies.Endpoints.Dial(ctx, e.info)
+	c, err := p.dependencies.Endpoints.Dial(ctx, e.info, "")
 	overdue.Stop()
 	now := p.now()
 	p.counts.connections.Inc(1)
@@ -240,7 +242,7 @@
 // rejectWaitersLocked rejects all waiters with err.
 func (e *endpoint) rejectWaitersLocked(err error) {
 	for {
-		w, ok := e.queue.Pop(e.groupControl.control.proxy.now())
+		w, ok := e.queue.Pop(e.groupControl.control.proxy.now(), nil)
 		if !ok {
 			return
 		}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -27,6 +27,7 @@
 	relayed         metrics.Counter
 	relaysLost      metrics.Counter
 	sessionPanics   metrics.Counter
+	keysDenied      metrics.Counter
 	storeRestores   metrics.Counter
 	readTime        metrics.Histogram
 	writeTime       metrics.Histogram
@@ -49,6 +50,7 @@
 		relayed:         metrics.GetOrRegisterCounter("sessions_relayed", r),
 		relaysLost:      metrics.GetOrRegisterCounter("relayed_statements_lost", r),
 		sessionPanics:   metrics.GetOrRegisterCounter("session_panics", r),
+		keysDenied:      metrics.GetOrRegisterCounter("sessions_denied", r),
 		storeRestores:   metrics.GetOrRegisterCounter("store_restores", r),
 		readTime:        histogram("read_ns"),
 		writeTime:       histogram("write_ns"),
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -40,6 +40,11 @@
 	// stopping makes the session end before its next statement; other goroutines set
 	// it.
 	stopping atomic.Bool
+	// organisation is that of the operation that runs.
+	organisation core.Organisation
+	// keyWithdrawnAt is when a configuration without the caller's key came into force, in
+	// nanoseconds since 1970; zero while the key is known. Other goroutines set it.
+	keyWithdrawnAt atomic.Int64
 	// relay is set if another instance serves the session.
 	relay *Relay
 }
@@ -79,6 +84,9 @@
 	p.awaitPlacement()
 	p.minimumVersion.await(p)
 	r, err := p.route(caller.Database)
+	if err == nil {
+		_, err = p.config.Load().identify(caller.Key, r)
+	}
 	if err == nil && caller.Relayed && p.drainer.isDraining() {
 		err = core.NewError(core.CodeDraining, "the instance is shutting down")
 	}
@@ -228,7 +236,7 @@
 	if s.tx != nil {
 		return s.executeInTransaction(st, access, arrived)
 	}
-	r, g, err := s.routeAndGroup()
+	r, g, err := s.startOperation()
 	if err != nil {
 		return s.fail(err)
 	}
@@ -238,6 +246,17 @@
 	return s.write(st, r, g, arrived)
 }
 
+// startOperation returns the session's route and group, and identifies its caller, under
+// the configuration in force, at the start of a transaction or of a statement outside one.
+func (s *session) startOperation() (Route, *group, error) {
+	r, g, err := s.routeAndGroup()
+	if err != nil {
+		return r, g, err
+	}
+	s.organisation, err = s.proxy.config.Load().identify(s.caller.Key, r)
+	return r, g, err
+}
+
 // routeAndGroup returns the session's route and group in the current configuration.
 func (s *session) routeAndGroup() (Route, *group, error) {
 	r, err := s.proxy.route(s.caller.Database)
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -72,6 +72,12 @@
 	case "configure": // configure VERSION DATABASE FRESHNESS, or without a route
 		s.configure(f[1:])
 		return "version " + strconv.FormatUint(s.proxy.config.Load().Version, 10)
+	case "organisations": // organisations VERSION ORGANISATION=KEY ...
+		s.configureOrganisations(f[1:])
+		return "version " + strconv.FormatUint(s.proxy.config.Load().Version, 10)
+	case "ended": // ended CALLER: waits for the end of its session
+		receive(t, s.callers[f[1]].ended, "end of the session")
+		return f[1] + " ended"
 	default: // CALLER ID KIND WORDS
 		return s.sendStatement(f)
 	}
@@ -105,6 +111,27 @@
 	if len(f) > 1 {
 		delete(c.Routes, core.Database(f[1]))
 	}
+	s.offer(c)
+}
+
+// configureOrganisations offers a configuration with organisations that hold one key each;
+// the route to the database public is public.
+func (s *simulation) configureOrganisations(f []string) {
+	version, _ := strconv.ParseUint(f[0], 10, 64)
+	c := testConfig(version)
+	public := c.Routes["bounded"]
+	public.Public = true
+	c.Routes["public"] = public
+	c.Organisations = make(map[core.Organisation]OrganisationSettings)
+	for _, pair := range f[1:] {
+		name, key, _ := strings.Cut(pair, "=")
+		c.Organisations[core.Organisation(name)] = OrganisationSettings{Keys: []core.Key{core.Key(key)}}
+	}
+	s.offer(c)
+}
+
+// offer offers a configuration and waits until it was handled.
+func (s *simulation) offer(c *Config) {
 	s.mu.Lock()
 	offer := s.offerConfig
 	s.mu.Unlock()
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -258,9 +258,10 @@
 	wrote         bool
 	// values and prepared are what is set and prepared on the connection.
 	values, prepared map[string]string
+	organisation     core.Organisation
 }
 
-func (s *simulation) dial(_ context.Context, e Endpoint) (*Conn, error) {
+func (s *simulation) dial(_ context.Context, e Endpoint, o core.Organisation) (*Conn, error) {
 	s.mu.Lock()
 	f := s.find(e.Name)
 	unreachable := f.unreachable
@@ -269,7 +270,7 @@
 		time.Sleep(unreachableTimeout)
 		return nil, errTimeout
 	}
-	c := &fakeConn{sim: s, fake: f, values: map[string]string{}, prepared: map[string]string{}}
+	c := &fakeConn{organisation: o, sim: s, fake: f, values: map[string]string{}, prepared: map[string]string{}}
 	return &Conn{
 		Exchange: c.exchange, Status: c.status, CheckPrimary: c.checkPrimary, Fence: c.fence,
 		IsOpen: func() bool { return true }, Close: func() {},
@@ -419,7 +420,7 @@
 	if st.ID != "" {
 		f.executed = append(f.executed, st.ID)
 	}
-	return Answer{Rows: []string{fmt.Sprintf("%s at %s %v%s", f.info.Name, f.applied, c.values, shape)}, Proof: "signed by " + string(f.info.Name), State: c.state(), Point: f.applied}
+	return Answer{Rows: []string{fmt.Sprintf("%s at %s %v%s%s", f.info.Name, f.applied, c.values, shape, c.suffix())}, Proof: "signed by " + string(f.info.Name), State: c.state(), Point: f.applied}
 }
 
 // commit appends an entry and sends it to the replicas of the term.
@@ -437,6 +438,14 @@
 	}
 }
 
+// suffix names the organisation for which the connection was opened, if there is one.
+func (c *fakeConn) suffix() string {
+	if c.organisation == "" {
+		return ""
+	}
+	return " for " + string(c.organisation)
+}
+
 // testCaller is a caller whose statements come from the test.
 type testCaller struct {
 	statements chan Statement
@@ -461,7 +470,7 @@
 func (s *simulation) startSession(name string, database core.Database, relayed bool) *testCaller {
 	c := &testCaller{statements: make(chan Statement), answers: make(chan Answer, 1), ended: make(chan struct{}), interrupt: make(chan struct{})}
 	caller := &Caller{
-		Database: database, Name: core.Caller(name), Relayed: relayed,
+		Database: database, Key: core.Key(name), Relayed: relayed,
 		Ready: func() error { return nil },
 		Next: func(timeout time.Duration) (Statement, error) {
 			var expired <-chan time.Time
--- a/proxy/soak_test.go
+++ b/proxy/soak_test.go
@@ -87,7 +87,9 @@
 		return ctx.Err()
 	}
 	return Dependencies{
-		Endpoints: Endpoints{Dial: func(_ context.Context, e Endpoint) (*Conn, error) { return s.dial(instance, e.Name) }},
+		Endpoints: Endpoints{Dial: func(_ context.Context, e Endpoint, _ core.Organisation) (*Conn, error) {
+			return s.dial(instance, e.Name)
+		}},
 		Directory: Directory{Watch: func(ctx context.Context, offer func([]Endpoint)) error {
 			var list []Endpoint
 			for _, e := range s.endpoints {
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -40,7 +40,7 @@
 	if s.tx != nil {
 		return s.fail(core.NewError(core.CodeBadMessage, "a transaction is open"))
 	}
-	r, g, err := s.routeAndGroup()
+	r, g, err := s.startOperation()
 	if err != nil {
 		return s.fail(err)
 	}
@@ -55,6 +55,10 @@
 // executeInTransaction runs a statement in the open transaction.
 func (s *session) executeInTransaction(st Statement, access Kind, arrived time.Time) Answer {
 	tx := s.tx
+	if err := s.checkTransactionKey(); err != nil {
+		s.closeTransactionConn()
+		return s.fail(err)
+	}
 	if tx.conn == nil {
 		if err := s.openTransaction(arrived); err != nil {
 			return s.fail(transactionError(err))
@@ -205,6 +209,10 @@
 		s.endTransaction(true)
 		return s.fail(core.NewError(core.CodeTransactionLost, "the transaction had failed and was rolled back"))
 	}
+	if err := s.checkTransactionKey(); err != nil {
+		s.endTransaction(true)
+		return s.fail(err)
+	}
 	if tx.conn == nil {
 		if err := s.openTransaction(arrived); err != nil {
 			s.endTransaction(true)
