--- a/core/place/in_flight.go
+++ b/core/place/in_flight.go
@@ -25,6 +25,9 @@
 	// serviceTimeRise is the fraction by which that lowest average rises with each
 	// statement, so that it follows work that has become longer.
 	serviceTimeRise = 0.0001
+	// minObserved is how many statements an average needs to count: as many as its weight
+	// makes it cover.
+	minObserved = int(1 / serviceTimeWeight)
 	// maxKinds bounds the databases whose service times are known.
 	maxKinds = 64
 )
@@ -45,7 +48,9 @@
 // serviceTime is the service time of the statements of one database.
 type serviceTime struct {
 	average float64
-	// lowest is a recent minimum of average.
+	// observed counts the statements in average, up to minObserved.
+	observed int
+	// lowest is a recent minimum of average; zero while fewer than minObserved are in it.
 	lowest float64
 }
 
@@ -86,10 +91,17 @@
 		if f.kinds == nil {
 			f.kinds = make(map[core.Database]*serviceTime)
 		}
-		k = &serviceTime{average: took, lowest: took}
+		k = &serviceTime{}
 		f.kinds[d] = k
 	}
-	k.average += serviceTimeWeight * (took - k.average)
-	k.lowest = min(k.average, k.lowest*(1+serviceTimeRise))
+	k.observed = min(k.observed+1, minObserved)
+	k.average += (took - k.average) / float64(k.observed)
+	switch {
+	case k.observed < minObserved:
+	case k.lowest == 0:
+		k.lowest = k.average
+	default:
+		k.lowest = min(k.average, k.lowest*(1+serviceTimeRise))
+	}
 	return k.lowest
 }
