Count a refused sample as a response of the endpoint

Cause: endpoint.request counted only samples without an error as responses. An endpoint with full slots answers STATUS with BUSY, so it could stay out of reads and count as silent although it responded. dial and recordFailure had the rule written out, each by itself. Change: isResponse holds the rule once: answered, also with an error of the endpoint's own, or refused is a response; request, dial and recordFailure use it. A request that reached no endpoint (share used up, full backoff) still counts as nothing.

--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -243,7 +243,7 @@
 func (e *endpoint) recordFailure(now, sentAt time.Time, err error) {
 	f := failureOf(err)
 	e.mu.Lock()
-	if f == failover.OutcomeAnswered || f == failover.OutcomeRefused {
+	if isResponse(err) {
 		e.noteResponseLocked(now)
 	}
 	answeredSince := e.answeredAt.After(sentAt)
@@ -272,6 +272,16 @@
 	}
 }
 
+// isResponse reports whether the endpoint responded to a request with the given error:
+// it answered, also with an error of its own, or refused the connection.
+func isResponse(err error) bool {
+	if err == nil {
+		return true
+	}
+	f := failureOf(err)
+	return f == failover.OutcomeAnswered || f == failover.OutcomeRefused
+}
+
 // sample requests the endpoint's status.
 func (e *endpoint) sample(newConnection bool) (Report, time.Time, error) {
 	return e.request(newConnection, func(c *Conn) (Report, error) { return c.Status(sampleTimeout) })
@@ -298,7 +308,7 @@
 	}
 	sentAt := p.now()
 	r, err := use(c.conn)
-	if err == nil {
+	if isResponse(err) {
 		e.noteResponse(p.now())
 	}
 	p.counts.controlRequests.Inc(1)
@@ -318,15 +328,14 @@
 	defer cancel()
 	c, err := p.dependencies.Endpoints.Dial(ctx, e.info, "")
 	p.counts.connections.Inc(1)
-	if err == nil {
+	if isResponse(err) {
 		e.noteResponse(p.now())
+	}
+	if err == nil {
 		return newEndpointConn(e, c, p.now()), nil
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if f := failureOf(err); f == failover.OutcomeAnswered || f == failover.OutcomeRefused {
-		e.noteResponseLocked(p.now())
-	}
 	e.open--
 	e.recordFullLocked(p.now(), err)
 	return nil, err
