Give each organisation its own connections

Cause: endpoints were told nothing of organisations: every connection was opened as the instance's and served everyone's statements. Change: a connection belongs to one organisation and runs its statements only. pool.Mix decides what endpoint_conn.go decided itself: which organisation's waiting statement runs, for which a connection is opened, which idle one is closed for room or for its age. Without organisations all is one organisation without a name, and the steps are those of before (checked in the property test against the old rule). Openings are ordered by priority, connections held and deadline, and take turns with statements that can run. A failed opening now gives the time until the next attempt, also for a full endpoint. Not tried: openings in the order of the queue; binding a waiter to its opening, which would pass over more important ones, also without organisations. Not measured on a site.

--- /dev/null
+++ b/core/pool/mix_test.go
@@ -0,0 +1,310 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"anviltack/core"
+)
+
+const (
+	// openingTime is how long the simulated endpoint takes to open a connection.
+	openingTime = 12 * time.Millisecond
+	// simulationStep is the time between two steps of the simulation.
+	simulationStep = time.Millisecond
+)
+
+// mixLoad is the load of a simulated endpoint.
+type mixLoad struct {
+	// rates are those of the organisations in statements a second; a single one has no name.
+	rates []float64
+	// once sends one statement of each organisation at the start instead.
+	once        bool
+	connections int
+	inFlight    int
+	// service is how long a statement runs.
+	service  time.Duration
+	duration time.Duration
+}
+
+// simulatedStatement is a statement or an opening at the simulated endpoint.
+type simulatedStatement struct {
+	Waiting
+	arrived time.Time
+	// conn is the connection on which it runs, zero for an opening, and endsAt when it ends.
+	conn   uint64
+	endsAt time.Time
+}
+
+// mixSimulation drives a Mix with a queue in the order of arrival.
+type mixSimulation struct {
+	mix     *Mix
+	load    mixLoad
+	random  *rand.Rand
+	now     time.Time
+	queue   []simulatedStatement
+	running []simulatedStatement
+	// owners are the organisations of the established connections; used are those in use.
+	owners map[uint64]core.Organisation
+	used   map[uint64]bool
+	lastID uint64
+
+	served, opened, replaced int
+	waits                    map[core.Organisation][]time.Duration
+	fault                    string
+}
+
+func newMixSimulation(l mixLoad) *mixSimulation {
+	s := &mixSimulation{
+		mix: NewMix(), load: l, random: rand.New(rand.NewPCG(1, 1)), now: time.Unix(1000, 0),
+		owners: map[uint64]core.Organisation{}, used: map[uint64]bool{}, waits: map[core.Organisation][]time.Duration{},
+	}
+	s.mix.SetLimits(s.now, l.connections, l.inFlight)
+	return s
+}
+
+func organisationName(n, of int) core.Organisation {
+	if of == 1 {
+		return ""
+	}
+	return core.Organisation(fmt.Sprintf("o%02d", n))
+}
+
+// run runs the simulation, then without arrivals until nothing waits.
+func (s *mixSimulation) run() {
+	for end := s.now.Add(s.load.duration); s.now.Before(end) || len(s.queue)+len(s.running) > 0; s.now = s.now.Add(simulationStep) {
+		for n, rate := range s.load.rates {
+			if s.load.once && s.lastID < uint64(len(s.load.rates)) || !s.load.once && s.now.Before(end) && s.random.Float64() < rate*simulationStep.Seconds() {
+				s.arrive(organisationName(n, len(s.load.rates)))
+			}
+		}
+		s.end()
+		s.dispatch()
+		if s.now.After(end.Add(time.Minute)) {
+			s.fault = "statements wait for ever"
+			return
+		}
+	}
+}
+
+func (s *mixSimulation) arrive(o core.Organisation) {
+	s.lastID++
+	w := simulatedStatement{Waiting: Waiting{ID: s.lastID, Organisation: o, Deadline: s.now}, arrived: s.now}
+	s.queue = append(s.queue, w)
+	s.mix.Wait(w.Waiting)
+}
+
+// end ends the statements and openings whose time is over.
+func (s *mixSimulation) end() {
+	s.running = slices.DeleteFunc(s.running, func(r simulatedStatement) bool {
+		if s.now.Before(r.endsAt) {
+			return false
+		}
+		if r.conn == 0 {
+			s.mix.Opened(r.Organisation)
+			s.opened++
+			r.conn = uint64(s.opened)
+			s.owners[r.conn] = r.Organisation
+		} else {
+			s.mix.InFlight--
+			delete(s.used, r.conn)
+		}
+		s.mix.AddIdle(s.now, r.conn, r.Organisation)
+		return true
+	})
+}
+
+func (s *mixSimulation) dispatch() {
+	none := func(uint64) bool { return false }
+	for {
+		open, opening := s.mix.Open, s.mix.Opening
+		step := s.mix.Next(s.now, true, none)
+		if want := s.stepOfOne(open, opening); len(s.load.rates) == 1 && step.Kind != want {
+			s.fault = fmt.Sprintf("%q instead of %q", step.Kind, want)
+			return
+		}
+		switch step.Kind {
+		case StepRun:
+			s.runFirst(step.IsUsable)
+		case StepOpen:
+			s.running = append(s.running, simulatedStatement{Waiting: Waiting{Organisation: step.Organisation}, endsAt: s.now.Add(openingTime)})
+		case StepClose:
+			s.replaced++
+			s.close(step.Connection)
+		case StepNone:
+			s.closeUnused(none)
+			return
+		}
+		s.check()
+	}
+}
+
+// stepOfOne returns the step that serves the waiting statements of one organisation: any
+// idle connection serves any of them, and otherwise one is opened for each.
+func (s *mixSimulation) stepOfOne(open, opening int) StepKind {
+	l := s.load
+	switch idle := open - opening - len(s.used); {
+	case len(s.queue) > 0 && idle > 0 && s.mix.InFlight < l.inFlight:
+		return StepRun
+	case idle == 0 && len(s.queue) > opening && s.mix.InFlight+opening < l.inFlight && open < l.connections:
+		return StepOpen
+	default:
+		return StepNone
+	}
+}
+
+func (s *mixSimulation) closeUnused(none func(uint64) bool) {
+	for id, ok := s.mix.Unused(s.now, none); ok; id, ok = s.mix.Unused(s.now, none) {
+		s.close(id)
+	}
+}
+
+func (s *mixSimulation) runFirst(usable func(core.Organisation) bool) {
+	i := slices.IndexFunc(s.queue, func(w simulatedStatement) bool { return usable(w.Organisation) })
+	w := s.queue[i]
+	s.queue = slices.Delete(s.queue, i, i+1)
+	s.mix.StopWaiting(w.ID)
+	w.conn, _ = s.mix.Newest(w.Organisation)
+	if s.used[w.conn] || s.owners[w.conn] != w.Organisation {
+		s.fault = fmt.Sprintf("connection %d of %q is not free for %q", w.conn, s.owners[w.conn], w.Organisation)
+	}
+	s.used[w.conn] = true
+	s.mix.Take(w.conn)
+	s.mix.Run(s.now, w.Organisation)
+	w.endsAt = s.now.Add(s.load.service)
+	s.running = append(s.running, w)
+	s.served++
+	s.waits[w.Organisation] = append(s.waits[w.Organisation], s.now.Sub(w.arrived))
+}
+
+func (s *mixSimulation) close(id uint64) {
+	if s.used[id] {
+		s.fault = fmt.Sprintf("connection %d is closed in use", id)
+	}
+	s.mix.Take(id)
+	s.mix.Closed(s.owners[id])
+	delete(s.owners, id)
+}
+
+func (s *mixSimulation) check() {
+	if s.mix.Open > s.load.connections || s.mix.Open != len(s.owners)+s.mix.Opening {
+		s.fault = fmt.Sprintf("%d connections counted, %d established", s.mix.Open, len(s.owners))
+	}
+	if len(s.running) > s.load.inFlight+s.mix.Opening || s.mix.InFlight > s.load.inFlight || s.mix.Opening > s.load.inFlight {
+		s.fault = fmt.Sprintf("%d statements and %d openings in flight", s.mix.InFlight, s.mix.Opening)
+	}
+}
+
+// wait returns the quantile of the waits of the organisations from the first on.
+func (s *mixSimulation) wait(first, last int, quantile float64) time.Duration {
+	var all []time.Duration
+	for n := first; n < last; n++ {
+		all = append(all, s.waits[organisationName(n, len(s.load.rates))]...)
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[int(quantile*float64(len(all)-1))]
+}
+
+// TestMix runs the loads in testdata/mix against a Mix: organisations, of which the first
+// large ones share a part of the statements, and which send for some seconds.
+func TestMix(t *testing.T) {
+	datadriven.RunTest(t, "testdata/mix", func(t *testing.T, d *datadriven.TestData) string {
+		var organisations, large, share, perSecond, times, seconds, ms int
+		var l mixLoad
+		scan := func(name string, to *int) { d.MaybeScanArgs(t, name, to) }
+		scan("organisations", &organisations)
+		scan("large", &large)
+		scan("share", &share)
+		scan("rate", &perSecond)
+		scan("tenths", &times)
+		scan("seconds", &seconds)
+		scan("connections", &l.connections)
+		scan("inflight", &l.inFlight)
+		scan("ms", &ms)
+		l.service, l.duration, l.once = time.Duration(ms)*time.Millisecond, time.Duration(seconds)*time.Second, d.HasArg("once")
+		for n := range organisations {
+			rate := float64(perSecond*(100-share)) / 100 / float64(max(1, organisations-large))
+			if n < large {
+				rate = float64(perSecond*share) / 100 / float64(large)
+			}
+			if n == 0 && times > 0 {
+				rate *= float64(times) / 10
+			}
+			l.rates = append(l.rates, rate)
+		}
+		s := newMixSimulation(l)
+		s.run()
+		if s.fault != "" {
+			t.Fatal(s.fault)
+		}
+		var out strings.Builder
+		fmt.Fprintf(&out, "served %d opened %d replaced %d open at the end %d\n", s.served, s.opened, s.replaced, s.mix.Open)
+		for _, part := range []struct {
+			name        string
+			first, last int
+		}{{"large", 0, large}, {"small", large, organisations}} {
+			if part.first < part.last {
+				fmt.Fprintf(&out, "%s wait %v, worst %v\n", part.name, s.wait(part.first, part.last, 0.5), s.wait(part.first, part.last, 1))
+			}
+		}
+		return out.String()
+	})
+}
+
+// TestMixProperties checks for any load that the limits hold, that no connection is used
+// twice at once and that every statement runs, in any mix of organisations.
+func TestMixProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := mixLoad{
+			connections: rapid.IntRange(1, 6).Draw(t, "connections"), inFlight: rapid.IntRange(1, 5).Draw(t, "inFlight"),
+			service:  time.Duration(rapid.IntRange(1, 30).Draw(t, "ms")) * time.Millisecond,
+			duration: 300 * time.Millisecond, once: rapid.Bool().Draw(t, "once"),
+			rates: rapid.SliceOfN(rapid.Float64Range(0, 60), 1, 12).Draw(t, "rates"),
+		}
+		s := newMixSimulation(l)
+		s.run()
+		if s.fault != "" {
+			t.Fatal(s.fault)
+		}
+		// Everything waits at most for a place and an opening for each statement before it.
+		bound := time.Duration(s.served+1) * 2 * (l.service + openingTime + simulationStep)
+		if worst := s.wait(0, len(l.rates), 1); worst > bound {
+			t.Fatalf("a statement waited %v, above %v", worst, bound)
+		}
+	})
+}
+
+// TestMixKeepsUptimeProof checks that the last idle connection which proves the uptime is
+// closed neither for room nor for its age while another one is idle.
+func TestMixKeepsUptimeProof(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	m := NewMix()
+	m.SetLimits(start, 2, 2)
+	for id, o := range []core.Organisation{"a", "b"} {
+		m.Reserve(o)
+		m.AddIdle(start, uint64(id+1), o)
+	}
+	proves := func(id uint64) bool { return id == 1 }
+	m.Wait(Waiting{ID: 1, Organisation: "c"})
+	is.Equal(m.Next(start, true, proves), Step{Kind: StepClose, Organisation: "c", Connection: 2})
+	id, ok := m.Unused(start.Add(idleTimeout), proves)
+	is.True(!ok && id == 0) // 1 was renewed, 2 follows
+	id, ok = m.Unused(start.Add(idleTimeout), proves)
+	is.True(ok && id == 2)
+	m.Take(2)
+	m.Closed("b")
+	_, ok = m.Unused(start.Add(3*idleTimeout), proves)
+	is.True(!ok) // the last one stays
+}
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -12,6 +12,7 @@
 	"anviltack/core"
 	failover "anviltack/core/group"
 	"anviltack/core/place"
+	"anviltack/core/pool"
 	"anviltack/core/queue"
 	"anviltack/core/reach"
 )
@@ -53,16 +54,10 @@
 	caughtUp bool
 
 	mu sync.Mutex
-	// maxConnections is this instance's connection share; maxInFlight limits the
-	// statements that run at once.
-	maxConnections int
-	maxInFlight    int
-	// inFlight counts the statements that run.
-	inFlight int
-	idle     []*endpointConn
-	// open counts all connections: idle, in use and being opened.
-	open         int
-	opening      int
+	// mix divides the connections among organisations; idle holds the idle ones by their id.
+	mix          *pool.Mix
+	idle         map[uint64]*endpointConn
+	lastConnID   atomic.Uint64
 	queue        queue.Queue
 	waiters      map[uint64]chan grant
 	lastWaiterID uint64
@@ -108,7 +103,7 @@
 }
 
 func newEndpoint(g *groupControl, info Endpoint) *endpoint {
-	return &endpoint{info: info, groupControl: g, waiters: make(map[uint64]chan grant), maxConnections: 1, maxInFlight: 1}
+	return &endpoint{info: info, groupControl: g, waiters: make(map[uint64]chan grant), mix: pool.NewMix(), idle: make(map[uint64]*endpointConn)}
 }
 
 // setShare sets the limits on connections and on statements from the group's
@@ -116,15 +111,15 @@
 func (e *endpoint) setShare(connections, instances int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.maxConnections = place.ConnectionShare(connections, instances)
-	e.maxInFlight = place.MaxInFlight(e.info.Slots, instances)
-	for len(e.idle) > 0 && e.open > e.maxConnections {
-		e.closeConnLocked(e.popIdleLocked())
+	now := e.groupControl.control.proxy.now()
+	e.mix.SetLimits(now, place.ConnectionShare(connections, instances), place.MaxInFlight(e.info.Slots, instances))
+	for id, ok := e.mix.LeastNeeded(now, e.provesUptimeLocked); ok; id, ok = e.mix.LeastNeeded(now, e.provesUptimeLocked) {
+		e.closeConnLocked(e.takeIdleLocked(id))
 	}
 }
 
-// candidate describes the endpoint to the routing of reads.
-func (e *endpoint) candidate(now time.Time, primary bool, dataCentre string) place.Candidate {
+// candidate describes the endpoint to the routing of an organisation's reads.
+func (e *endpoint) candidate(now time.Time, primary bool, dataCentre string, o core.Organisation) place.Candidate {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	lag := e.lag
@@ -134,8 +129,8 @@
 	return place.Candidate{
 		Endpoint: e.info.Name, Primary: primary, Local: string(e.info.DataCentre) == dataCentre,
 		Visible: e.visible, Lag: lag, LaggingUntil: e.laggingUntil,
-		Load: e.inFlight + e.queue.Len(), Running: e.running, ConnectionShare: e.maxConnections, Slots: e.info.Slots,
-		Down:    e.closed || now.Before(e.suspectUntil) || !e.unansweredSince.IsZero() || e.open == e.opening && now.Before(e.reconnectAt),
+		Load: e.mix.InFlight + e.queue.Len(), Running: e.running, ConnectionShare: e.mix.MaxOpen, Slots: e.info.Slots,
+		Down:    e.closed || now.Before(e.suspectUntil) || !e.unansweredSince.IsZero() || e.isUnreachableLocked(now, o),
 		Leaving: e.leaving.Load(),
 	}
 }
@@ -332,11 +327,11 @@
 		e.noteResponse(p.now())
 	}
 	if err == nil {
-		return newEndpointConn(e, c, p.now()), nil
+		return newEndpointConn(e, c, "", p.now()), nil
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.open--
+	e.mix.Closed("")
 	e.recordFullLocked(p.now(), err)
 	return nil, err
 }
@@ -383,16 +378,16 @@
 	if newConnection {
 		e.closeIdleLocked()
 	}
-	if c := e.takeUptimeProofLocked(); c != nil {
+	if c := e.takeUptimeProofLocked(now); c != nil {
 		return c, nil
 	}
 	if now.Before(e.fullUntil) {
 		return nil, &EndpointError{Kind: ErrorKindConnections, Text: "the endpoint was full; the next attempt to connect is delayed"}
 	}
-	if e.open > e.maxConnections {
+	if e.mix.Open > e.mix.MaxOpen {
 		return nil, &EndpointError{Kind: ErrorKindConnections, Text: "all connections of this instance are in use"}
 	}
-	e.open++
+	e.mix.Reserve("")
 	return nil, nil
 }
 
@@ -401,6 +396,6 @@
 	e.mu.Lock()
 	e.closed = true
 	e.closeIdleLocked()
-	e.rejectWaitersLocked(core.NewError(core.CodeNoConnection, "endpoint %s was removed", e.info.Name))
+	e.rejectWaitersLocked(nil, core.NewError(core.CodeNoConnection, "endpoint %s was removed", e.info.Name))
 	e.mu.Unlock()
 }
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/pool"
 	"anviltack/core/queue"
 )
 
@@ -14,12 +15,15 @@
 type endpointConn struct {
 	endpoint *endpoint
 	conn     *Conn
+	// id is unique among the endpoint's connections and never zero.
+	id uint64
+	// organisation is the one whose statements run on the connection; empty for those of
+	// the instance itself.
+	organisation core.Organisation
 	// values are the session values that are set on the connection.
 	values map[string]string
 	// prepared holds the names that are prepared on the connection.
 	prepared map[string]bool
-	// usedAt is when the connection became idle.
-	usedAt time.Time
 	// upSince is a time since which the endpoint's process has run without a restart,
 	// provided that it still answers on this connection.
 	upSince time.Time
@@ -28,8 +32,11 @@
 	grantedAt time.Time
 }
 
-func newEndpointConn(e *endpoint, c *Conn, openedAt time.Time) *endpointConn {
-	return &endpointConn{endpoint: e, conn: c, upSince: openedAt, values: map[string]string{}, prepared: map[string]bool{}}
+func newEndpointConn(e *endpoint, c *Conn, o core.Organisation, openedAt time.Time) *endpointConn {
+	return &endpointConn{
+		endpoint: e, conn: c, id: e.lastConnID.Add(1), organisation: o, upSince: openedAt,
+		values: map[string]string{}, prepared: map[string]bool{},
+	}
 }
 
 // recordUptime records an answer to a request sent at sentAt and returns the time
@@ -113,7 +120,7 @@
 		e.mu.Unlock()
 		return nil, core.NewError(core.CodeNoConnection, "endpoint %s was removed", e.info.Name)
 	}
-	if e.open == e.opening && now.Before(e.reconnectAt) {
+	if e.isUnreachableLocked(now, request.organisation) {
 		retryAfter := e.reconnectAt.Sub(now)
 		e.mu.Unlock()
 		return nil, core.NewError(core.CodeNoConnection, "endpoint %s is unreachable", e.info.Name).WithRetry(retryAfter)
@@ -124,14 +131,15 @@
 		return nil, core.NewError(core.CodeOverloaded, "%s is overloaded: statements take %v there", e.info.Name, retryAfter.Round(time.Millisecond)).WithRetry(retryAfter)
 	}
 	e.lastWaiterID++
-	w := queue.Waiter{ID: e.lastWaiterID, Priority: request.priority, Deadline: request.deadline, MaxWait: request.maxWait}
-	if !e.queue.Add(now, w, e.maxInFlight) {
-		wait := e.queue.ExpectedWait(now, w, e.maxInFlight)
+	w := queue.Waiter{ID: e.lastWaiterID, Organisation: request.organisation, Priority: request.priority, Deadline: request.deadline, MaxWait: request.maxWait}
+	if !e.queue.Add(now, w, e.mix.MaxInFlight) {
+		wait := e.queue.ExpectedWait(now, w, e.mix.MaxInFlight)
 		e.mu.Unlock()
 		return nil, core.NewError(core.CodeOverloaded, "the queue for %s is %v long", e.info.Name, wait.Round(time.Millisecond)).WithRetry(wait)
 	}
 	granted := make(chan grant, 1)
 	e.waiters[w.ID] = granted
+	e.mix.Wait(pool.Waiting{ID: w.ID, Organisation: w.Organisation, Priority: w.Priority, Deadline: w.Deadline})
 	e.dispatchLocked(now)
 	e.rejectHopelessLocked(now)
 	e.mu.Unlock()
@@ -149,6 +157,7 @@
 	}
 	e.mu.Lock()
 	waited := e.queue.Remove(w.ID)
+	e.mix.StopWaiting(w.ID)
 	delete(e.waiters, w.ID)
 	e.mu.Unlock()
 	if !waited {
@@ -158,32 +167,62 @@
 	return nil, core.NewError(core.CodeOverloaded, "no connection to %s came free in %v", e.info.Name, w.MaxWait.Round(time.Millisecond)).WithRetry(w.MaxWait)
 }
 
-// dispatchLocked grants connections to waiters as far as the endpoint may run more
-// statements, and opens connections if none is idle.
+// isUnreachableLocked reports whether no connection can serve an organisation and none may
+// be opened yet.
+func (e *endpoint) isUnreachableLocked(now time.Time, o core.Organisation) bool {
+	return e.mix.Connected(o) == 0 && now.Before(e.reconnectAt)
+}
+
+// dispatchLocked grants connections to waiters and opens and closes connections for them,
+// as the mix decides.
 func (e *endpoint) dispatchLocked(now time.Time) {
-	for e.queue.Len() > 0 && e.inFlight < e.maxInFlight {
-		c := e.takeIdleLocked()
-		if c == nil {
-			break
+	for {
+		switch step := e.mix.Next(now, !now.Before(e.reconnectAt), e.provesUptimeLocked); step.Kind {
+		case pool.StepRun:
+			if !e.grantNextLocked(now, step.IsUsable) {
+				return
+			}
+		case pool.StepOpen:
+			go e.connect(step.Organisation)
+		case pool.StepClose:
+			e.groupControl.control.proxy.counts.connsReplaced.Inc(1)
+			e.closeConnLocked(e.takeIdleLocked(step.Connection))
+		case pool.StepNone:
+			return
 		}
-		w, _ := e.queue.Pop(now, nil)
-		c.grantedAt = now
-		e.inFlight++
-		e.waiters[w.ID] <- grant{conn: c}
-		delete(e.waiters, w.ID)
 	}
-	for e.queue.Len() > e.opening && e.inFlight+e.opening < e.maxInFlight && e.open < e.maxConnections && !now.Before(e.reconnectAt) {
-		e.open++
-		e.opening++
-		go e.connect()
+}
+
+// grantNextLocked grants a connection to the first waiter of a usable organisation and
+// reports whether there is one. If all its connections broke while idle, it waits on.
+func (e *endpoint) grantNextLocked(now time.Time, usable func(core.Organisation) bool) bool {
+	w, ok := e.queue.Pop(now, usable)
+	if !ok {
+		return false
+	}
+	c := e.takeNewestLocked(w.Organisation)
+	if c == nil {
+		e.queue.Add(now, w, math.MaxInt)
+		return true
 	}
+	e.mix.Run(now, w.Organisation)
+	c.grantedAt = now
+	e.resolveLocked(w, grant{conn: c})
+	return true
 }
 
-// takeIdleLocked removes an idle connection that is still open from the pool, or
-// returns nil.
-func (e *endpoint) takeIdleLocked() *endpointConn {
-	for len(e.idle) > 0 {
-		c := e.popIdleLocked()
+// resolveLocked answers a waiter that is no longer queued.
+func (e *endpoint) resolveLocked(w queue.Waiter, g grant) {
+	e.mix.StopWaiting(w.ID)
+	e.waiters[w.ID] <- g
+	delete(e.waiters, w.ID)
+}
+
+// takeNewestLocked removes the organisation's most recently used idle connection that is
+// still open from the pool, or returns nil.
+func (e *endpoint) takeNewestLocked(o core.Organisation) *endpointConn {
+	for id, ok := e.mix.Newest(o); ok; id, ok = e.mix.Newest(o) {
+		c := e.takeIdleLocked(id)
 		if c.conn.IsOpen() {
 			return c
 		}
@@ -192,13 +231,21 @@
 	return nil
 }
 
-// connect opens a connection and adds it to the pool.
-func (e *endpoint) connect() {
+// takeIdleLocked removes an idle connection from the pool.
+func (e *endpoint) takeIdleLocked(id uint64) *endpointConn {
+	c := e.idle[id]
+	delete(e.idle, id)
+	e.mix.Take(id)
+	return c
+}
+
+// connect opens a connection for an organisation and adds it to the pool.
+func (e *endpoint) connect(o core.Organisation) {
 	p := e.groupControl.control.proxy
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
 	overdue := e.watchOverdue(p.now())
-	c, err := p.dependencies.Endpoints.Dial(ctx, e.info, "")
+	c, err := p.dependencies.Endpoints.Dial(ctx, e.info, o)
 	overdue.Stop()
 	now := p.now()
 	p.counts.connections.Inc(1)
@@ -207,57 +254,50 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.opening--
+	e.mix.Opened(o)
 	if err == nil {
 		e.noteResponseLocked(now)
-		e.addIdleLocked(now, newEndpointConn(e, c, now))
+		e.addIdleLocked(now, newEndpointConn(e, c, o, now))
 		return
 	}
-	e.open--
+	e.mix.Closed(o)
 	e.reconnectAt = now.Add(reconnectDelay)
 	e.recordFullLocked(now, err)
-	if e.open == 0 {
-		e.rejectWaitersLocked(core.NewError(core.CodeNoConnection, "could not connect to %s", e.info.Name).WithRetry(reconnectDelay))
-	}
+	e.rejectWaitersLocked(func(waiting core.Organisation) bool { return !e.mix.CanServe(waiting) }, core.NewError(core.CodeNoConnection, "could not connect to %s", e.info.Name).WithRetry(e.reconnectAt.Sub(now)))
 }
 
 // rejectHopelessLocked rejects the waiters that an overloaded queue will not serve in time.
 func (e *endpoint) rejectHopelessLocked(now time.Time) {
 	for {
-		w, ok := e.queue.DropHopeless(now, e.maxInFlight)
+		w, ok := e.queue.DropHopeless(now, e.mix.MaxInFlight)
 		if !ok {
 			return
 		}
-		wait := e.queue.DrainTime(e.maxInFlight)
-		e.rejectWaiterLocked(w, core.NewError(core.CodeOverloaded, "%s is overloaded: the queue takes %v", e.info.Name, wait.Round(time.Millisecond)).WithRetry(wait))
+		wait := e.queue.DrainTime(e.mix.MaxInFlight)
+		e.resolveLocked(w, grant{err: core.NewError(core.CodeOverloaded, "%s is overloaded: the queue takes %v", e.info.Name, wait.Round(time.Millisecond)).WithRetry(wait)})
 	}
 }
 
-// rejectWaiterLocked rejects a waiter that is no longer queued.
-func (e *endpoint) rejectWaiterLocked(w queue.Waiter, err error) {
-	e.waiters[w.ID] <- grant{err: err}
-	delete(e.waiters, w.ID)
-}
-
-// rejectWaitersLocked rejects all waiters with err.
-func (e *endpoint) rejectWaitersLocked(err error) {
+// rejectWaitersLocked rejects the waiters of the organisations for which rejected is true,
+// of all if it is nil.
+func (e *endpoint) rejectWaitersLocked(rejected func(core.Organisation) bool, err error) {
 	for {
-		w, ok := e.queue.Pop(e.groupControl.control.proxy.now(), nil)
+		w, ok := e.queue.Pop(e.groupControl.control.proxy.now(), rejected)
 		if !ok {
 			return
 		}
-		e.rejectWaiterLocked(w, err)
+		e.resolveLocked(w, grant{err: err})
 	}
 }
 
 // addIdleLocked adds a connection to the pool, or closes it if there are too many.
 func (e *endpoint) addIdleLocked(now time.Time, c *endpointConn) {
-	if e.closed || e.open > e.maxConnections+extraSampleConnections {
+	if e.closed || e.mix.Open > e.mix.MaxOpen+extraSampleConnections {
 		e.closeConnLocked(c)
 		return
 	}
-	c.usedAt = now
-	e.idle = append(e.idle, c)
+	e.idle[c.id] = c
+	e.mix.AddIdle(now, c.id, c.organisation)
 	e.dispatchLocked(now)
 	e.closeUnusedLocked(now)
 }
@@ -292,7 +332,7 @@
 	if c.grantedAt.IsZero() {
 		return
 	}
-	e.inFlight--
+	e.mix.InFlight--
 	e.queue.ObserveServiceTime(now.Sub(c.grantedAt))
 	c.grantedAt = time.Time{}
 }
@@ -306,63 +346,46 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c.grantedAt.IsZero() {
-		e.inFlight++
+		e.mix.InFlight++
 		c.grantedAt = now
 	}
 }
 
-// idleTimeout is how long an idle connection stays open, except for the last one.
-// Connections of an instance that loses power are dropped only after 3 s, so fewer
-// open ones leave more room for other instances.
-const idleTimeout = 1500 * time.Millisecond
-
-// closeUnusedLocked closes connections that exceeded idleTimeout, oldest first. If the
-// oldest is the only one that proves the endpoint's uptime, it closes the next one
-// instead.
+// closeUnusedLocked closes connections that have been idle for too long.
 func (e *endpoint) closeUnusedLocked(now time.Time) {
-	for len(e.idle) > 1 && now.Sub(e.idle[0].usedAt) >= idleTimeout {
-		c := e.idle[0]
-		e.idle = e.idle[1:]
-		if e.provesUptimeLocked(c) && !slices.ContainsFunc(e.idle, e.provesUptimeLocked) {
-			c.usedAt = now
-			e.idle = append(e.idle, c)
-			c, e.idle = e.idle[0], e.idle[1:]
-		}
-		e.closeConnLocked(c)
+	for id, ok := e.mix.Unused(now, e.provesUptimeLocked); ok; id, ok = e.mix.Unused(now, e.provesUptimeLocked) {
+		e.closeConnLocked(e.takeIdleLocked(id))
 	}
 }
 
-// provesUptimeLocked reports whether answers on this connection prove the longest
+// provesUptimeLocked reports whether answers on this idle connection prove the longest
 // known uptime of the endpoint's process.
-func (e *endpoint) provesUptimeLocked(c *endpointConn) bool { return c.upSince.Equal(e.upSince) }
-
-// takeUptimeProofLocked removes the most recently used idle connection that proves the
-// endpoint's uptime from the pool, or any other if none does.
-func (e *endpoint) takeUptimeProofLocked() *endpointConn {
-	for i, c := range slices.Backward(e.idle) {
-		if e.provesUptimeLocked(c) && c.conn.IsOpen() {
-			e.idle = slices.Delete(e.idle, i, i+1)
-			return c
-		}
+func (e *endpoint) provesUptimeLocked(id uint64) bool { return e.idle[id].upSince.Equal(e.upSince) }
+
+// takeUptimeProofLocked removes an idle connection that proves the endpoint's uptime from
+// the pool, any other if none does, or returns nil.
+func (e *endpoint) takeUptimeProofLocked(now time.Time) *endpointConn {
+	isOpen := func(id uint64) bool { return e.idle[id].conn.IsOpen() }
+	id, ok := e.mix.ForControl(now, func(id uint64) bool { return e.provesUptimeLocked(id) && isOpen(id) })
+	if !ok {
+		id, ok = e.mix.ForControl(now, isOpen)
 	}
-	return e.takeIdleLocked()
-}
-
-// popIdleLocked removes the most recently used idle connection from the pool.
-func (e *endpoint) popIdleLocked() *endpointConn {
-	c := e.idle[len(e.idle)-1]
-	e.idle = e.idle[:len(e.idle)-1]
-	return c
+	if !ok {
+		e.closeIdleLocked()
+		return nil
+	}
+	return e.takeIdleLocked(id)
 }
 
 func (e *endpoint) closeIdleLocked() {
-	for len(e.idle) > 0 {
-		e.closeConnLocked(e.popIdleLocked())
+	for id := range e.idle {
+		e.closeConnLocked(e.takeIdleLocked(id))
 	}
 }
 
+// closeConnLocked closes a connection that is not in the pool.
 func (e *endpoint) closeConnLocked(c *endpointConn) {
-	e.open--
+	e.mix.Closed(c.organisation)
 	go c.conn.Close()
 }
 
--- a/proxy/endpoint_test.go
+++ b/proxy/endpoint_test.go
@@ -1,10 +1,15 @@
 package proxy
 
 import (
+	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"anviltack/core"
 )
 
 // newTestEndpoint returns endpoint p of a simulation whose instance does not run, so that
@@ -30,5 +35,65 @@
 	})
 	is.Equal(errorKindOf(err), ErrorKindBusy)
 	is.True(e.responses().UnansweredSince.IsZero())
-	is.True(!e.candidate(sim.proxy.now(), true, "dc0").Down)
+	is.True(!e.candidate(sim.proxy.now(), true, "dc0", "").Down)
+}
+
+// TestOrganisationsShareNoConnection checks that the statements of six organisations run on
+// connections of their own while the instance may open three to each endpoint.
+func TestOrganisationsShareNoConnection(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	c := testConfig(2)
+	c.Groups["g"] = GroupSettings{MaxConnections: 6}
+	c.Organisations = make(map[core.Organisation]OrganisationSettings)
+	for n := range 6 {
+		c.Organisations[core.Organisation(fmt.Sprint("o", n))] = OrganisationSettings{Keys: []core.Key{core.Key(fmt.Sprint("k", n))}}
+	}
+	sim.offer(c)
+	var wg sync.WaitGroup
+	for n := range 6 {
+		caller := sim.open(fmt.Sprint("k", n), "newest")
+		wg.Go(func() {
+			for i := range 40 {
+				a := caller.send(Statement{ID: fmt.Sprint(n, "-", i), Kind: KindWrite})
+				if a.Err != nil || !strings.HasSuffix(a.Rows[0], fmt.Sprint(" for o", n)) {
+					t.Errorf("organisation o%d: %v %v", n, a.Rows, a.Err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	d := sim.proxy.placement.Load().groups["g"].state.Load().primary.dump()
+	is.True(d.Open <= d.Limit+extraSampleConnections)
+	is.Equal(d.Limit, 3)
+	is.True(sim.proxy.counts.connsReplaced.Count() > 0)
+	is.True(len(d.IdleOf) <= dumpedOrganisations)
+}
+
+// TestFailedOpeningRejectsOnlyUnserved checks that a failed opening rejects at once the
+// statements of an organisation without a connection, and leaves those that wait for one.
+func TestFailedOpeningRejectsOnlyUnserved(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim, e := newTestEndpoint(t, 3)
+	held, err := e.acquire(connectionRequest{organisation: "north", maxWait: stepTimeout})
+	is.NoErr(err)
+	sim.setField(sim.find("p"), "dark", "yes")
+	results := make(chan error, 2)
+	for _, o := range []core.Organisation{"north", "south"} {
+		go func() {
+			c, err := e.acquire(connectionRequest{organisation: o, maxWait: stepTimeout})
+			if err == nil && c != held {
+				err = fmt.Errorf("%s got a connection of %s", o, c.organisation)
+			}
+			results <- err
+		}()
+	}
+	err = receive(t, results, "rejection")
+	is.Equal(asError(err).Code, core.CodeNoConnection)
+	is.True(asError(err).RetryAfter > 0)
+	held.release(true)
+	is.NoErr(receive(t, results, "grant"))
 }
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"anviltack/core"
+	"anviltack/core/pool"
 )
 
 // histogramSampleSize is how many values a histogram keeps.
@@ -21,6 +22,7 @@
 	readsMoved      metrics.Counter
 	controlRequests metrics.Counter
 	connections     metrics.Counter
+	connsReplaced   metrics.Counter
 	ownStatements   metrics.Counter
 	withoutPrimary  metrics.Counter
 	eventsDropped   metrics.Counter
@@ -44,6 +46,7 @@
 		readsMoved:      metrics.GetOrRegisterCounter("reads_moved", r),
 		controlRequests: metrics.GetOrRegisterCounter("reports", r),
 		connections:     metrics.GetOrRegisterCounter("connections_opened", r),
+		connsReplaced:   metrics.GetOrRegisterCounter("connections_replaced", r),
 		ownStatements:   metrics.GetOrRegisterCounter("own_statements", r),
 		withoutPrimary:  metrics.GetOrRegisterCounter("statements_without_primary", r),
 		eventsDropped:   metrics.GetOrRegisterCounter("control_events_dropped", r),
@@ -149,8 +152,13 @@
 	Idle     int
 	Waiting  int
 	Limit    int
+	// IdleOf counts the idle connections of the organisations that have most.
+	IdleOf []pool.Idle
 }
 
+// dumpedOrganisations limits the organisations listed for each endpoint in the dump.
+const dumpedOrganisations = 5
+
 // writeDump writes the state of the instance.
 func (p *Proxy) writeDump(w http.ResponseWriter, _ *http.Request) {
 	var groups []groupDump
@@ -188,6 +196,7 @@
 	defer e.mu.Unlock()
 	return endpointDump{
 		Endpoint: e.info.Name, Visible: e.visible.String(), Lag: e.lag,
-		Open: e.open, Idle: len(e.idle), Waiting: e.queue.Len(), Limit: e.maxConnections,
+		Open: e.mix.Open, Idle: len(e.idle), Waiting: e.queue.Len(), Limit: e.mix.MaxOpen,
+		IdleOf: e.mix.LargestIdle(dumpedOrganisations),
 	}
 }
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -142,7 +142,7 @@
 		now := s.proxy.now()
 		candidates := make([]place.Candidate, 0, len(state.endpoints))
 		for _, e := range state.endpoints {
-			candidates = append(candidates, e.candidate(now, e == state.primary, s.proxy.settings.DataCentre))
+			candidates = append(candidates, e.candidate(now, e == state.primary, s.proxy.settings.DataCentre, s.organisation))
 		}
 		if name, ok := place.Choose(now, required, candidates, tried, globalRandom); ok {
 			if e := state.endpoint(name); e != nil {
