Limit statements in flight by the room that an endpoint shows

Cause: see core/place/in_flight.go: a home instance with most of a group's callers could send its even share only, while the others left theirs unused. Change: the proxy takes its limit of statements in flight from place.InFlight. Ruled out: more homes for each data centre, which share the same slots.

--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -55,13 +55,15 @@
 
 	mu sync.Mutex
 	// mix divides the connections among organisations; idle holds the idle ones by their id.
-	mix          *pool.Mix
-	idle         map[uint64]*endpointConn
-	lastConnID   atomic.Uint64
-	queue        queue.Queue
-	waiters      map[uint64]chan grant
-	lastWaiterID uint64
-	closed       bool
+	mix *pool.Mix
+	// inFlightLimit is the source of the mix's MaxInFlight.
+	inFlightLimit place.InFlight
+	idle          map[uint64]*endpointConn
+	lastConnID    atomic.Uint64
+	queue         queue.Queue
+	waiters       map[uint64]chan grant
+	lastWaiterID  uint64
+	closed        bool
 	// reconnectAt is the earliest time at which a connection may be opened again.
 	reconnectAt time.Time
 	// fullUntil is the time until which no connection is requested because the
@@ -112,7 +114,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.groupControl.control.proxy.now()
-	e.mix.SetLimits(now, place.ConnectionShare(connections, instances), place.MaxInFlight(e.info.Slots, instances))
+	e.inFlightLimit.SetShare(e.info.Slots, instances)
+	e.mix.SetLimits(now, place.ConnectionShare(connections, instances), e.inFlightLimit.Limit())
 	for id, ok := e.mix.LeastNeeded(now, e.provesUptimeLocked); ok; id, ok = e.mix.LeastNeeded(now, e.provesUptimeLocked) {
 		e.closeConnLocked(e.takeIdleLocked(id))
 	}
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -24,6 +24,10 @@
 	values map[string]string
 	// prepared holds the names that are prepared on the connection.
 	prepared map[string]bool
+	// database is that of the session that uses the connection, and succeeded reports
+	// whether the endpoint ran its last statement.
+	database  core.Database
+	succeeded bool
 	// upSince is a time since which the endpoint's process has run without a restart,
 	// provided that it still answers on this connection.
 	upSince time.Time
@@ -82,6 +86,7 @@
 type connectionRequest struct {
 	// organisation is that of the statement's caller; empty for none.
 	organisation core.Organisation
+	database     core.Database
 	priority     int
 	deadline     time.Time
 	// maxWait is how long the request may wait.
@@ -96,7 +101,7 @@
 // and the time remaining until its timeout.
 func (s *session) connectionRequest(e *endpoint, r Route, arrived time.Time, remaining time.Duration) connectionRequest {
 	return connectionRequest{
-		organisation: s.organisation, priority: s.queuePriority(r, arrived), deadline: arrived.Add(r.TargetTime), maxWait: e.maxWait(arrived, remaining, r),
+		organisation: s.organisation, database: s.caller.Database, priority: s.queuePriority(r, arrived), deadline: arrived.Add(r.TargetTime), maxWait: e.maxWait(arrived, remaining, r),
 		target: r.TargetTime, shortestTarget: r.shortestTarget,
 	}
 }
@@ -143,7 +148,11 @@
 	e.dispatchLocked(now)
 	e.rejectHopelessLocked(now)
 	e.mu.Unlock()
-	return e.awaitGrant(w, granted)
+	c, err := e.awaitGrant(w, granted)
+	if err == nil {
+		c.database = request.database
+	}
+	return c, err
 }
 
 // awaitGrant waits for a connection, at most for the waiter's MaxWait.
@@ -333,8 +342,13 @@
 		return
 	}
 	e.mix.InFlight--
-	e.queue.ObserveServiceTime(now.Sub(c.grantedAt))
-	c.grantedAt = time.Time{}
+	took := now.Sub(c.grantedAt)
+	e.queue.ObserveServiceTime(took)
+	if c.succeeded {
+		e.inFlightLimit.Observe(c.database, took, e.queue.Len() > 0)
+		e.mix.MaxInFlight = e.inFlightLimit.Limit()
+	}
+	c.grantedAt, c.succeeded = time.Time{}, false
 }
 
 // beginStatement records that a statement starts on a connection that its transaction
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -60,6 +60,7 @@
 	}
 	a := answers[len(answers)-1]
 	a.upSince = c.recordUptime(sentAt)
+	c.succeeded = a.Err == nil
 	c.endpoint.recordAnswer(now, st.AfterAt, a)
 	return a, nil
 }
