Share an endpoint's queue fairly among organisations

Cause: an organisation that sends many times its usual fills the queue of an endpoint, and every other one waits behind it or is refused.

Change: within a priority the queue is start-time fair queueing over organisations, weighted; refusal on arrival counts the place in that order; an overloaded queue drops, and load shedding rejects, first from the organisation furthest beyond its share. New for the proxy, which does not call them yet: Arrive, AddBeside, RefusalCode, Reserved, ShedProbabilityOf. Reserved leaves connections to more urgent priorities while all slots are in use.

Ruled out: keeping the tag of an organisation that returns (plain start-time fair queueing with weights by size): small ones then wait for seconds for a second statement beside a large hot one. Bounding what a passed-over organisation saves by the virtual time: it took from ones that only waited; TestFairness found it. Newest first for all organisations of an overloaded queue: it took from those that have no backlog themselves.

--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -1,7 +1,8 @@
 // Package queue orders the statements that wait for a connection to one endpoint
-// by priority and deadline, and rejects on arrival those that would wait too long. While it is
-// overloaded it serves the newest first: the others are late already, or soon will be, and in
-// their order everything would be served just too late.
+// by priority, fair share of their organisation and deadline, and rejects on arrival those that
+// would wait too long. While it is overloaded it serves the newest of an organisation first: the
+// others are late already, or soon will be, and in their order everything would be served just
+// too late.
 package queue
 
 import (
@@ -28,6 +29,8 @@
 	MaxWait time.Duration
 	// addedAt is when the statement was queued.
 	addedAt time.Time
+	// flow is that of its organisation and priority while it is queued.
+	flow *flow
 }
 
 // compareWaiters orders waiters by priority, then by deadline.
@@ -47,8 +50,15 @@
 
 // Queue is the queue of one endpoint.
 type Queue struct {
-	// waiters are in the order in which they are served while the queue is not overloaded.
+	// waiters are in the order in which they are served while the queue is not overloaded and
+	// all are of one organisation.
 	waiters []Waiter
+	// levels hold the shares of the organisations, one for each priority that was used.
+	levels []*level
+	// members are the organisations that wait or were active lately.
+	members []*member
+	// forgotten are unused flows, kept to be used again.
+	forgotten []*flow
 	// serviceTime is the average time for which a statement occupies its connection;
 	// zero before the first observation.
 	serviceTime time.Duration
@@ -84,10 +94,12 @@
 // ExpectedWait returns how long a new waiter is expected to wait for one of n
 // connections.
 func (q *Queue) ExpectedWait(now time.Time, w Waiter, n int) time.Duration {
-	ahead := q.insertIndex(w)
-	if q.isOverloaded(now) {
-		ahead = q.firstOfPriority(w.Priority)
-	}
+	return q.waitAt(q.position(now, w, q.level(w.Priority).flow(w.Organisation)), n)
+}
+
+// waitAt returns how long the waiter behind a number of others is expected to wait for one of n
+// connections.
+func (q *Queue) waitAt(ahead, n int) time.Duration {
 	return time.Duration(ahead+1) * q.ServiceTime() / time.Duration(max(1, n))
 }
 
@@ -99,13 +111,20 @@
 // Add queues a waiter and reports true, unless others wait and it is expected to wait
 // longer than its MaxWait for one of n connections.
 func (q *Queue) Add(now time.Time, w Waiter, n int) bool {
-	if len(q.waiters) > 0 && q.ExpectedWait(now, w, n) > w.MaxWait {
+	return q.AddBeside(now, w, n, 0)
+}
+
+// AddBeside is Add while some of the n connections are free: a waiter that these can serve with
+// all others is not refused.
+func (q *Queue) AddBeside(now time.Time, w Waiter, n, free int) bool {
+	if len(q.waiters) >= max(1, free) && q.ExpectedWait(now, w, n) > w.MaxWait {
 		return false
 	}
 	if len(q.waiters) == 0 {
 		q.waitingSince = now
 	}
 	w.addedAt = now
+	q.join(now, &w)
 	q.waiters = slices.Insert(q.waiters, q.insertIndex(w), w)
 	return true
 }
@@ -116,24 +135,46 @@
 	return sort.Search(len(q.waiters), func(i int) bool { return compareWaiters(q.waiters[i], w) > 0 })
 }
 
-// DropHopeless removes and returns the waiter that an overloaded queue would serve last, if it
-// is expected to wait longer than it may for one of n connections.
+// DropHopeless removes and returns the waiter that an overloaded queue gives up first, if it
+// would wait longer than it may should it be served last by n connections: the oldest of the
+// organisation that is furthest beyond its share, or of those alike the one served last, among
+// the waiters of the least urgent priority.
 func (q *Queue) DropHopeless(now time.Time, n int) (Waiter, bool) {
 	if !q.isOverloaded(now) {
 		return Waiter{}, false
 	}
 	last := q.firstOfPriority(q.waiters[len(q.waiters)-1].Priority)
-	for i := last; i < len(q.waiters); i++ {
-		if q.waiters[i].ID < q.waiters[last].ID {
-			last = i
+	beyond := q.beyondShare(now, q.waiters[last])
+	for i := last + 1; i < len(q.waiters); i++ {
+		w := q.waiters[i]
+		if w.flow == q.waiters[last].flow {
+			if w.ID < q.waiters[last].ID {
+				last = i
+			}
+			continue
+		}
+		if b := q.beyondShare(now, w); b > beyond || b == beyond && w.isAfter(q.waiters[last]) {
+			last, beyond = i, b
 		}
 	}
 	w := q.waiters[last]
 	if now.Add(q.DrainTime(n)).Before(w.addedAt.Add(w.MaxWait)) {
 		return Waiter{}, false
 	}
-	q.removeAt(last)
-	return w, true
+	return q.removeAt(last), true
+}
+
+// beyondShare returns how many statements of a waiter's organisation arrived for each unit of
+// its weight.
+func (q *Queue) beyondShare(now time.Time, w Waiter) float64 {
+	return w.flow.member.arrived.atLeast(now) / w.flow.member.weight
+}
+
+// isAfter reports whether the backlog of the organisation of w is served after that of another
+// waiter's; of equal ones the older waiter's is.
+func (w Waiter) isAfter(other Waiter) bool {
+	last, otherLast := w.flow.tag(w.flow.waiting-1), other.flow.tag(other.flow.waiting-1)
+	return last > otherLast || last == otherLast && w.ID < other.ID
 }
 
 // DrainTime returns how long n connections are expected to take for all waiters.
@@ -141,33 +182,66 @@
 	return time.Duration(len(q.waiters)) * q.ServiceTime() / time.Duration(max(1, n))
 }
 
-// Pop removes and returns the next waiter: the first one, or the one of its priority that came
-// last while the queue is overloaded. Waiters of organisations that are not usable are passed
-// over; a nil function makes all usable.
+// Pop removes and returns the next waiter of the most urgent priority: of the organisation with
+// the lowest start tag the first one, or the one that came last while the queue is overloaded.
+// Organisations that are not usable are passed over and keep their place; a nil function makes
+// all usable.
 func (q *Queue) Pop(now time.Time, usable func(core.Organisation) bool) (Waiter, bool) {
 	next := -1
 	for i, w := range q.waiters {
-		if next >= 0 && (!q.isOverloaded(now) || w.Priority != q.waiters[next].Priority) {
+		if next >= 0 && w.Priority != q.waiters[next].Priority {
 			break
 		}
-		if (usable == nil || usable(w.Organisation)) && (next < 0 || w.ID > q.waiters[next].ID) {
+		if (next < 0 || q.isBefore(now, w, q.waiters[next])) && (usable == nil || usable(w.Organisation)) {
 			next = i
 		}
 	}
 	if next < 0 {
 		return Waiter{}, false
 	}
-	w := q.waiters[next]
-	q.removeAt(next)
-	return w, true
+	q.waiters[next].flow.serve(now)
+	return q.removeAt(next), true
+}
+
+// Reserved returns how many of n connections the next waiter is to leave free for more urgent
+// ones while the endpoint's slots are all in use: the more, the less urgent it is among the
+// priorities that come, and at most half. Two statements are sent for each slot, so the other
+// half keeps the slots busy.
+func (q *Queue) Reserved(now time.Time, n int) int {
+	if len(q.waiters) == 0 || q.waiters[0].Organisation == "" {
+		return 0
+	}
+	moreUrgent, levels := 0, 0
+	for _, l := range q.levels {
+		if l.waiting > 0 || l.arrived.recent(now) >= 1 {
+			levels++
+			if l.priority < q.waiters[0].Priority {
+				moreUrgent++
+			}
+		}
+	}
+	return min(n/2, n*moreUrgent/levels)
+}
+
+// isBefore reports whether w is served before another waiter of its priority that precedes it in
+// the order of deadlines.
+func (q *Queue) isBefore(now time.Time, w, other Waiter) bool {
+	if w.flow == other.flow {
+		return q.isOverloaded(now) && w.flow.isOverloaded(now) && w.ID > other.ID
+	}
+	return w.flow.start < other.flow.start
 }
 
-// removeAt removes a waiter.
-func (q *Queue) removeAt(i int) {
+// removeAt removes and returns a waiter.
+func (q *Queue) removeAt(i int) Waiter {
+	w := q.waiters[i]
 	q.waiters = slices.Delete(q.waiters, i, i+1)
+	w.flow.leave()
 	if len(q.waiters) == 0 {
 		q.waitingSince = time.Time{}
 	}
+	w.flow = nil
+	return w
 }
 
 // Remove removes a waiter and reports whether it was queued.
--- a/core/queue/shed.go
+++ b/core/queue/shed.go
@@ -1,6 +1,10 @@
 package queue
 
-import "time"
+import (
+	"time"
+
+	"anviltack/core"
+)
 
 // serviceTimeMaxAge is how long after the last answer the average service time is
 // still used.
@@ -34,3 +38,54 @@
 	threshold := minShedThreshold + (maxShedThreshold-minShedThreshold)*float64(shortest)/float64(target)
 	return min(1, max(0, (usedFraction-threshold)/shedRamp))
 }
+
+// ShedProbabilityOf is ShedProbability for a statement that was counted by Arrive. What is to be
+// rejected is taken first from the organisations that are furthest beyond their shares.
+func (q *Queue) ShedProbabilityOf(now time.Time, w Waiter, sinceAnswer, target, shortest time.Duration) float64 {
+	p := q.ShedProbability(sinceAnswer, target, shortest)
+	if p == 0 || w.Organisation == "" {
+		return p
+	}
+	return q.sharedProbability(now, w.Organisation, p)
+}
+
+// sharedProbability returns the probability with which to reject a statement of an organisation
+// so that as much is rejected as with probability p for each: first of what the organisations
+// furthest beyond their shares sent for certain, then evenly of the rest.
+func (q *Queue) sharedProbability(now time.Time, o core.Organisation, p float64) float64 {
+	m := q.member(o)
+	if p == 0 || m == nil || m.arrived.count == 0 || len(q.members) <= 1 {
+		return p
+	}
+	all, certain := 0.0, 0.0
+	for _, other := range q.members {
+		all += other.arrived.recent(now)
+		certain += other.arrived.atLeast(now)
+	}
+	rejected := m.arrived.atLeast(now)
+	if excess := p * all; excess <= certain {
+		rejected = max(0, rejected-q.fairLevel(now, excess)*m.weight)
+	} else {
+		rejected += (m.arrived.recent(now) - rejected) * (excess - certain) / (all - certain)
+	}
+	return rejected / m.arrived.recent(now)
+}
+
+// fairLevel returns how many arrivals for each unit of weight leave the given excess above.
+func (q *Queue) fairLevel(now time.Time, excess float64) float64 {
+	level := 0.0
+	for range q.members {
+		above, weights := 0.0, 0.0
+		for _, m := range q.members {
+			if n := m.arrived.atLeast(now); n > level*m.weight {
+				above += n
+				weights += m.weight
+			}
+		}
+		if above-excess <= level*weights {
+			break
+		}
+		level = (above - excess) / weights
+	}
+	return level
+}
