Count bytes by kind of message

The bytes of an instance grow with the fleet and nothing says which messages they are. Connections now count their bytes by what they are for: shown in /metrics and in event 106 every 10 s and when a planned stop ends, with the groups connected to, connections and reports.

--- a/core/event.go
+++ b/core/event.go
@@ -11,6 +11,7 @@
 	EventListening     Event = 103
 	EventDraining      Event = 104
 	EventCut           Event = 105
+	EventTraffic       Event = 106
 	EventConfig        Event = 200
 	EventConfigSource  Event = 201
 	EventConfigBehind  Event = 202
--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -165,6 +165,8 @@
 	LeaseStore   LeaseStore
 	Membership   Membership
 	Promoter     Promoter
+	// Traffic counts the bytes that the other dependencies exchange; it may be nil.
+	Traffic *Traffic
 	// Now reads a clock that also advances while the process is suspended.
 	Now func() time.Time
 }
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -58,6 +58,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	p.event(core.EventDraining).WithField("sessions", p.sessionCount()).Info("drain ended")
+	p.logTraffic()
 	end()
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -100,6 +100,7 @@
 		sessions:    make(map[*session]struct{}),
 	}
 	p.counts = newCounts(p.metrics)
+	d.Traffic.register(p.metrics)
 	p.control = newControl(p)
 	p.drainer = newDrainer(p)
 	p.placement.Store(&placement{})
@@ -151,6 +152,7 @@
 	if p.settings.MetricsAddress.IsValid() {
 		root.Add(service{name: "metrics", run: p.serveMetrics})
 	}
+	root.Add(service{name: "traffic", run: p.reportTraffic})
 	go p.drainer.run(ctx, stop, cancel)
 	p.event(core.EventStarted).WithField("callers", p.settings.CallerAddress).Info("started")
 	err := root.Serve(ctx)
