Return to the home instances while callers use a group

An instance that no home instance accepted a session of a group from connects to the group and served it from then on: while connected it relayed no new session, and each of its callers' statements kept the connection. It went back only after 20 s without a statement, so never under load, and likewise after a list of instances that made it a home for a moment. Such instances sample every endpoint of each such group, so their bytes grow with the groups, and the fleet's connections and statements in flight at an endpoint with the instances.

New sessions are now served here for 2 s at a time; one then tries the home instances again. Idle sessions of groups that the instance is no home of end 5 to 15 s after the home instances accept sessions again.

Ruled out: trying the home instances with each session, which makes all of them wait up to 0.9 s while none accepts. TestReturnToHomes failed before.

--- a/proxy/control.go
+++ b/proxy/control.go
@@ -228,7 +228,8 @@
 	}
 	c.assignHomes(config)
 	next := &placement{
-		groups: make(map[core.Group]*group, len(config.Groups)), homes: c.homePeers, monitored: c.monitored,
+		groups: make(map[core.Group]*group, len(config.Groups)), isHome: make(map[core.Group]bool),
+		homes: c.homePeers, monitored: c.monitored,
 		complete: len(c.listedEndpoints) > 0 || c.proxy.placement.Load().complete,
 	}
 	endpoints := 0
@@ -246,6 +247,9 @@
 		endpoints += len(members[name])
 		g.configure(now, members[name], settings, c.homes[name])
 		next.groups[name] = g.group
+		next.isHome[name] = c.isHome(name)
+		c.hasNonHomeGroups = c.hasNonHomeGroups || !next.isHome[name]
+		g.endForeignSessions(now, next.isHome[name])
 	}
 	for name, g := range c.groups {
 		if _, ok := next.groups[name]; !ok {
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -58,8 +58,12 @@
 	// lost is true while this instance does not reach enough endpoints to serve the group.
 	lost atomic.Bool
 	// lastUsedAt is when a statement last used the group, in nanoseconds since 1970.
-	lastUsedAt   atomic.Int64
-	groupControl *groupControl
+	lastUsedAt atomic.Int64
+	// fallbackUntil is until when this instance, no home instance of the group, serves new
+	// sessions without trying the home instances, in nanoseconds since 1970; zero if the
+	// last session that was tried there was accepted.
+	fallbackUntil atomic.Int64
+	groupControl  *groupControl
 
 	mu sync.Mutex
 	// changed is closed when state is replaced.
@@ -121,6 +125,8 @@
 	leaseCheckedAt time.Time
 	// lostSince is when the group was first found not reached; zero while it is.
 	lostSince time.Time
+	// foreignSince is since when this instance has been no home instance of the group.
+	foreignSince time.Time
 	// eraValueSentAt is when recordEra last began.
 	eraValueSentAt time.Time
 	// heldLease is the promotion lease that this instance acquired last.
--- a/proxy/home_instances.go
+++ b/proxy/home_instances.go
@@ -137,18 +137,45 @@
 // a home instance, it is home of no group and needs one to notice that it is isolated, or
 // it recently ran statements of the group.
 func (c *control) shouldConnect(now time.Time, name core.Group) bool {
-	homes := c.homes[name]
-	if len(homes) == 0 || slices.Contains(homes, c.self()) || name == c.monitored {
+	if c.isHome(name) || name == c.monitored {
 		return true
 	}
 	g := c.groups[name]
 	if g == nil || now.Sub(time.Unix(0, g.group.lastUsedAt.Load())) >= nonHomeRetention {
 		return false
 	}
-	c.hasNonHomeGroups = true
 	return true
 }
 
+// isHome reports whether this instance is a home instance of a group; all are if none is
+// assigned.
+func (c *control) isHome(name core.Group) bool {
+	homes := c.homes[name]
+	return len(homes) == 0 || slices.Contains(homes, c.self())
+}
+
+// endForeignSessions ends the idle sessions of a group that this instance served while it
+// was a home instance or the home instances accepted none, so that their callers' next ones
+// are relayed and this instance leaves the group.
+func (g *groupControl) endForeignSessions(now time.Time, isHome bool) {
+	if isHome || g.foreignSince.IsZero() {
+		g.foreignSince = now
+	}
+	if now.Sub(g.foreignSince) < foreignSessionGrace || now.Sub(time.Unix(0, g.group.fallbackUntil.Load())) < foreignSessionGrace {
+		return
+	}
+	p := g.control.proxy
+	go p.endSessions(false, func(s *session) bool {
+		r, err := p.route(s.caller.Database)
+		return s.relay == nil && err == nil && r.Group == g.group.name
+	})
+}
+
+// foreignSessionGrace is how long sessions of a group that this instance is no home
+// instance of go on once the home instances accept sessions; the list of instances may
+// change back.
+const foreignSessionGrace = nonHomeRetention / 4
+
 // addNonHomeGroup connects to a group whose home instances do not serve it.
 func (c *control) addNonHomeGroup(now time.Time, name core.Group) {
 	config := c.proxy.config.Load()
@@ -160,6 +187,7 @@
 	}
 	g := newGroupControl(c, name)
 	g.group.lastUsedAt.Store(now.UnixNano())
+	g.group.fallbackUntil.Store(now.Add(fallbackDuration).UnixNano())
 	c.groups[name] = g
 	c.reconcileGroups()
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -41,6 +41,8 @@
 type placement struct {
 	// groups are those that this instance connects to.
 	groups map[core.Group]*group
+	// isHome holds the groups of which this instance is a home instance.
+	isHome map[core.Group]bool
 	// homes are the other home instances of each group, to which sessions of groups
 	// that this instance does not connect to are relayed.
 	homes map[core.Group][]Peer
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -21,6 +21,9 @@
 	// avoidDuration is how long no session is relayed to an instance that did not
 	// accept one.
 	avoidDuration = 2 * time.Second
+	// fallbackDuration is how long an instance serves new sessions of a group by itself
+	// after no home instance accepted one.
+	fallbackDuration = avoidDuration
 )
 
 // startRelayed accepts a session that another instance relays.
@@ -42,19 +45,52 @@
 			p.event(core.EventRelay).WithField("group", r.Group).WithField("home", peer.Name).WithError(err).Warn("home instance of the group did not accept the session")
 			continue
 		}
+		p.setFallback(r.Group, time.Time{})
 		p.runRelay(caller, r.Group, peer, relay)
 		return true
 	}
+	p.setFallback(r.Group, p.now().Add(fallbackDuration))
 	return false
 }
 
-// serves reports whether this instance serves sessions of a group itself rather than relay
-// them.
-func (p *Proxy) serves(g core.Group) bool {
+// isConnected reports whether this instance connects to a group for statements.
+func (p *Proxy) isConnected(g core.Group) bool {
 	placed := p.placement.Load()
 	return placed.groups[g] != nil && placed.monitored != g
 }
 
+// serves reports whether this instance serves new sessions of a group itself rather than
+// relay them: as a home instance, or for a while because no home instance accepted one.
+func (p *Proxy) serves(name core.Group) bool {
+	placed := p.placement.Load()
+	g := placed.groups[name]
+	return g != nil && (placed.isHome[name] || g.isFallback(p.now()))
+}
+
+// setFallback sets until when this instance serves new sessions of a group without trying
+// its home instances; the zero time ends that.
+func (p *Proxy) setFallback(name core.Group, until time.Time) {
+	g := p.placement.Load().groups[name]
+	switch {
+	case g == nil:
+	case until.IsZero():
+		g.fallbackUntil.Store(0)
+	default:
+		g.fallbackUntil.Store(until.UnixNano())
+	}
+}
+
+// isFallback reports whether this instance, home of another group, serves a new session.
+// Once fallbackDuration is over it is false for one session, which tries the home instances
+// while the others are still served here.
+func (g *group) isFallback(now time.Time) bool {
+	until := g.fallbackUntil.Load()
+	if until == 0 {
+		return false
+	}
+	return now.UnixNano() < until || !g.fallbackUntil.CompareAndSwap(until, now.Add(fallbackDuration).UnixNano())
+}
+
 // isCutOff reports whether the instance reaches neither a group nor an instance in another
 // data centre.
 func (p *Proxy) isCutOff() bool { return p.isolated.Load() && p.partitioned.Load() }
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -284,3 +285,35 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestReturnToHomes checks that an instance which serves a group because no home instance
+// accepted a session relays again once one does, though its callers use the group all the
+// time, and ends the sessions that it served meanwhile.
+func TestReturnToHomes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newNonHomeSimulation(t)
+	var accepting atomic.Bool
+	relayed := make(chan struct{}, 1)
+	sim.relay = func(Peer) (*Relay, error) {
+		if !accepting.Load() {
+			return nil, errNoHome
+		}
+		select {
+		case relayed <- struct{}{}:
+		default:
+		}
+		return &Relay{Run: func() string { return "" }, Stop: func(bool) {}}, nil
+	}
+	sim.startNonHome()
+	c := sim.open("a", "bounded")
+	is.NoErr(c.send(Statement{ID: "a", Kind: KindRead}).Err)
+	accepting.Store(true)
+	n := 0
+	sim.waitFor(func() bool {
+		n++
+		sim.open(fmt.Sprint("b", n), "bounded").send(Statement{ID: fmt.Sprint("b", n), Kind: KindRead})
+		return len(relayed) > 0
+	})
+	receive(t, c.ended, "end of the session that was served here")
+}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -96,7 +96,7 @@
 	if err == nil && !p.placement.Load().complete {
 		err = core.NewError(core.CodeNoPrimary, "the endpoints are not known yet").WithRetry(defaultRetryAfter)
 	}
-	if err == nil && p.isCutOff() && !p.serves(r.Group) {
+	if err == nil && p.isCutOff() && !p.isConnected(r.Group) {
 		err = core.NewError(core.CodeNoPrimary, "the instance reaches no other data centre").WithRetry(defaultRetryAfter)
 	}
 	if err != nil {
