Divide limits of organisations among owners in core/quota

Cause: nothing counts the operations of an organisation over all instances. Change: owners by rendezvous hashing in fixed data centres, token buckets with takeover rules, stocks of holders with a demand estimate. No clock and no network.

--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,75 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"anviltack/core"
+)
+
+func everywhere(*simNode) bool { return true }
+
+// settle is the time after which a fleet that starts for the first time grants.
+const settle = 10 * time.Second
+
+// TestUseOfTheLimit measures how much of a limit is usable: at three times the limit at
+// least 95% of it, with callers everywhere and with callers in one data centre.
+func TestUseOfTheLimit(t *testing.T) {
+	t.Parallel()
+	patterns := map[string]func(*simNode) bool{
+		"callers everywhere":                  everywhere,
+		"all callers in one data centre":      func(n *simNode) bool { return n.self.DataCentre == "dc0" },
+		"all callers at one instance":         func(n *simNode) bool { return n.self.Name == "i5" },
+		"two instances of two data centres":   func(n *simNode) bool { return n.self.Name == "i5" || n.self.Name == "i6" },
+		"all data centres but one, unequally": func(n *simNode) bool { return n.self.DataCentre != "dc3" && n.self.Name < "i20" },
+	}
+	for name, at := range patterns {
+		for _, limit := range []Limit{{5, 5}, {60, 60}, {400, 20}, {400, 800}} {
+			t.Run(fmt.Sprintf("%s/%v", name, limit), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				s := newSimulation(3, 4, 34)
+				s.limits["o"] = limit
+				s.play(settle)
+				s.load("o", 3*limit.Rate, time.Minute, at)
+				s.play(time.Minute)
+				use := float64(s.served["o"]) / (limit.Rate * 60)
+				t.Logf("use %.3f, %d requests to owners", use, s.asks)
+				is.True(use >= 0.95)
+				is.True(s.worst("o") <= 0)
+			})
+		}
+	}
+}
+
+// TestUsualLoad checks that an organisation which uses 62% of its limit is refused
+// nothing, also when one owner is dead; the smallest, which at times exceed their limits,
+// no more than one bucket would.
+func TestUsualLoad(t *testing.T) {
+	t.Parallel()
+	for _, limit := range []Limit{{1, 2}, {4, 8}, {20, 20}, {300, 150}} {
+		for _, dead := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%v/owner dead %v", limit, dead), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				s := newSimulation(4, 4, 34)
+				s.limits["o"] = limit
+				s.play(settle)
+				var gone core.Instance
+				if dead {
+					gone = s.nodes["i0"].roster.Owners("o")[0]
+					s.nodes[gone].dead = true
+					s.play(5 * time.Second)
+				}
+				s.load("o", 0.62*limit.Rate, 2*time.Minute, func(n *simNode) bool { return n.self.Name != gone })
+				s.play(2*time.Minute + time.Second)
+				t.Logf("%d of %d served, %d within the limit", s.served["o"], s.asked["o"], s.within["o"])
+				is.True(s.served["o"] >= s.within["o"])
+				is.True(limit.Rate < 4 || s.served["o"] == s.asked["o"])
+			})
+		}
+	}
+}
--- /dev/null
+++ b/core/quota/roster.go
@@ -0,0 +1,364 @@
+// Package quota divides the limits of organisations among instances. Owners hold token
+// buckets with fixed parts of each limit and grant tokens from them alone; holders keep
+// stocks of granted tokens for a moment and spend one for each operation.
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"anviltack/core"
+)
+
+const (
+	// minSlots is how many parts a limit has at least, so that the loss of one owner
+	// leaves two thirds of it.
+	minSlots = 3
+	// retention is how long an instance that is no longer listed counts as an owner: it may
+	// only be unable to renew its entry.
+	retention = 20 * time.Second
+	// absenceGrace is how long an instance that is no longer listed itself grants on: the
+	// entries of all may be missing for a moment when their store comes back.
+	absenceGrace = 5 * time.Second
+	// currencyMargin is how much longer than the usual silence of the list's source the
+	// list counts as current.
+	currencyMargin = time.Second
+	// takeoverMargin is how much longer than that an instance waits before it grants from
+	// a part that another one may have held: the life of a stock and the time in which a
+	// change of the list spreads.
+	takeoverMargin = 1500 * time.Millisecond
+	// ContactInterval is the interval at which an instance contacts another one of its data
+	// centre while the source of its list is silent.
+	ContactInterval = time.Second
+	// contactTTL is how long a contact between instances counts.
+	contactTTL = 3 * ContactInterval
+)
+
+// Instance is an instance that shares the limits.
+type Instance struct {
+	Name       core.Instance
+	DataCentre core.DataCentre
+}
+
+// Roster knows the instances and decides which of them own the parts of each limit. The
+// number of parts and the data centre of each are fixed: no part moves to another data
+// centre, because one that is cut off goes on granting from its own.
+type Roster struct {
+	self    Instance
+	centres []core.DataCentre
+	// silence is the longest usual time between two signs of the list's source.
+	silence time.Duration
+	// others are the other instances that were listed within retention and takeoverDelay.
+	others map[core.Instance]*member
+	// listedSince is since when this instance has been listed, without an absence longer
+	// than retention; zero if it is not. goneAt is when it was first missing.
+	listedSince time.Time
+	goneAt      time.Time
+	// resumed is true if an earlier process was listed under this instance's name when
+	// this one started.
+	resumed bool
+	// digest identifies the list, and absent is the number of others that it lacks.
+	digest uint64
+	absent int
+	// heardAt is when the source of the list was last heard, contactAt when an instance
+	// near this one last answered that has no newer list, and informedAt when one answered
+	// that has.
+	heardAt    time.Time
+	contactAt  time.Time
+	informedAt time.Time
+	// grantsSince is since when this instance has been allowed to grant from the parts
+	// that it owns; zero if it is not. changedAt is when the owners last changed.
+	grantsSince time.Time
+	changedAt   time.Time
+	// owners and orders cache what Owners and Order return until the instances change.
+	owners map[core.Organisation][]core.Instance
+	orders map[core.Organisation][]core.Instance
+}
+
+// member is another instance; goneAt is zero while it is listed.
+type member struct {
+	centre core.DataCentre
+	goneAt time.Time
+}
+
+// NewRoster returns the roster of an instance. The data centres are those in which there
+// may ever be instances.
+func NewRoster(self Instance, centres []core.DataCentre, silence time.Duration) *Roster {
+	all := slices.Concat(centres, []core.DataCentre{self.DataCentre})
+	slices.Sort(all)
+	r := &Roster{self: self, centres: slices.Compact(all), silence: silence, others: make(map[core.Instance]*member)}
+	r.forget()
+	return r
+}
+
+// forget drops what was computed from the instances.
+func (r *Roster) forget() {
+	r.owners = make(map[core.Organisation][]core.Instance)
+	r.orders = make(map[core.Organisation][]core.Instance)
+}
+
+// currentFor is how long after a sign of its source the list is current.
+func (r *Roster) currentFor() time.Duration { return r.silence + currencyMargin }
+
+// takeoverDelay is how long an instance waits before it grants from a part that another
+// one may hold by an older list.
+func (r *Roster) takeoverDelay() time.Duration { return r.currentFor() + takeoverMargin }
+
+// Observe applies a list of the instances; isListed reports whether it names this one.
+func (r *Roster) Observe(now time.Time, listed []Instance, isListed bool) {
+	present := make(map[core.Instance]bool, len(listed))
+	for _, i := range listed {
+		if i.Name == r.self.Name {
+			continue
+		}
+		present[i.Name] = true
+		if m := r.others[i.Name]; m == nil || m.centre != i.DataCentre {
+			r.others[i.Name] = &member{centre: i.DataCentre}
+			r.change(now)
+		}
+		r.others[i.Name].goneAt = time.Time{}
+	}
+	for name, m := range r.others {
+		if !present[name] && m.goneAt.IsZero() {
+			m.goneAt = now
+		}
+	}
+	switch {
+	case isListed && r.listedSince.IsZero():
+		r.listedSince, r.goneAt = now, time.Time{}
+		r.change(now)
+	case isListed:
+		r.goneAt = time.Time{}
+	case !r.listedSince.IsZero() && r.goneAt.IsZero():
+		r.goneAt = now
+	}
+	r.summarize()
+}
+
+// change records that the owners may have changed.
+func (r *Roster) change(now time.Time) {
+	r.forget()
+	r.changedAt = now
+}
+
+// Resume records that an earlier process was listed under this instance's name, so that
+// nobody else has taken over its parts.
+func (r *Roster) Resume() { r.resumed = true }
+
+// Hear records a sign of the list's source.
+func (r *Roster) Hear(at time.Time) {
+	if at.After(r.heardAt) {
+		r.heardAt = at
+	}
+}
+
+// Sign tells other instances which list an instance has, and how long ago the source of
+// the list was last heard.
+type Sign struct {
+	Digest uint64
+	Age    time.Duration
+}
+
+// Sign returns the sign of this instance.
+func (r *Roster) Sign(now time.Time) Sign { return Sign{Digest: r.digest, Age: now.Sub(r.heardAt)} }
+
+// Contact records the sign in another instance's answer to a request sent at sentAt. An
+// instance with the same list stands for the source.
+func (r *Roster) Contact(sentAt time.Time, from core.Instance, sign Sign) {
+	heardAt := sentAt.Add(-sign.Age)
+	switch m := r.others[from]; {
+	case sign.Digest == r.digest:
+		r.Hear(heardAt)
+	case heardAt.After(r.heardAt):
+		r.informedAt = sentAt
+		return
+	case m == nil || m.centre != r.self.DataCentre && !r.isAlone():
+		return
+	}
+	r.contactAt = sentAt
+}
+
+// summarize sets the digest of the list.
+func (r *Roster) summarize() {
+	var names []string
+	if !r.listedSince.IsZero() && r.goneAt.IsZero() {
+		names = append(names, string(r.self.Name))
+	}
+	r.absent = 0
+	for name, m := range r.others {
+		if m.goneAt.IsZero() {
+			names = append(names, string(name))
+		} else {
+			r.absent++
+		}
+	}
+	slices.Sort(names)
+	r.digest = xxhash.Sum64String(strings.Join(names, "\x00"))
+}
+
+// isAlone reports whether no other instance of the data centre is known.
+func (r *Roster) isAlone() bool {
+	for _, m := range r.others {
+		if m.centre == r.self.DataCentre {
+			return false
+		}
+	}
+	return true
+}
+
+// IsQuiet reports whether the source of the list has been silent for longer than usual, so
+// that instances should be contacted every ContactInterval.
+func (r *Roster) IsQuiet(now time.Time) bool { return now.Sub(r.heardAt) > r.silence }
+
+// isCurrent reports whether the list is current.
+func (r *Roster) isCurrent(now time.Time) bool { return now.Sub(r.heardAt) <= r.currentFor() }
+
+// Neighbours returns the other instances of the data centre, or all others if there are
+// none.
+func (r *Roster) Neighbours() []core.Instance {
+	var names []core.Instance
+	alone := r.isAlone()
+	for name, m := range r.others {
+		if alone || m.centre == r.self.DataCentre {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// isInForce reports whether this instance may rely on its list. One that is not current
+// stays in force while instances of the data centre answer and have no newer one: then the
+// source is out of reach of all of them.
+func (r *Roster) isInForce(now time.Time) bool {
+	switch {
+	case r.isCurrent(now), len(r.others) == 0:
+		return true
+	default:
+		return now.Sub(r.contactAt) <= contactTTL && now.Sub(r.informedAt) > contactTTL
+	}
+}
+
+// Tick removes instances that have been absent for long and notes whether this one may
+// grant. It is to be called before Share and every second.
+func (r *Roster) Tick(now time.Time) {
+	for name, m := range r.others {
+		if r.absent == 0 {
+			break
+		}
+		if !m.goneAt.IsZero() && now.Sub(m.goneAt) >= retention+r.takeoverDelay() {
+			delete(r.others, name)
+			r.absent--
+			r.change(now)
+		}
+	}
+	if !r.goneAt.IsZero() && now.Sub(r.goneAt) >= retention {
+		r.listedSince, r.goneAt, r.resumed = time.Time{}, time.Time{}, false
+		r.change(now)
+	}
+	isSettled := !r.listedSince.IsZero() && (r.resumed || now.Sub(r.listedSince) >= r.takeoverDelay())
+	isSettled = isSettled && (r.goneAt.IsZero() || now.Sub(r.goneAt) < absenceGrace)
+	switch {
+	case !isSettled || !r.isInForce(now):
+		r.grantsSince = time.Time{}
+	case r.grantsSince.IsZero():
+		r.grantsSince = now
+	}
+}
+
+// ownsSince returns since when this instance has owned its present parts, at the latest.
+func (r *Roster) ownsSince() time.Time {
+	if r.changedAt.After(r.grantsSince) {
+		return r.changedAt
+	}
+	return r.grantsSince
+}
+
+// MayGrant reports whether this instance may grant from the parts that it owns.
+func (r *Roster) MayGrant() bool { return !r.grantsSince.IsZero() }
+
+// Slots returns how many parts each limit has.
+func (r *Roster) Slots() int { return max(minSlots, len(r.centres)) }
+
+// Share returns the fraction of an organisation's limit from which this instance may
+// grant now.
+func (r *Roster) Share(o core.Organisation) float64 {
+	if r.grantsSince.IsZero() {
+		return 0
+	}
+	held := 0
+	for _, i := range r.Owners(o) {
+		if i == r.self.Name {
+			held++
+		}
+	}
+	return float64(held) / float64(r.Slots())
+}
+
+// Owners returns the owner of each part of an organisation's limit, by rendezvous hashing
+// among the instances of the part's data centre; empty where there are none.
+func (r *Roster) Owners(o core.Organisation) []core.Instance {
+	if owners, ok := r.owners[o]; ok {
+		return owners
+	}
+	ranked := make(map[core.DataCentre][]core.Instance)
+	if !r.listedSince.IsZero() {
+		ranked[r.self.DataCentre] = append(ranked[r.self.DataCentre], r.self.Name)
+	}
+	for name, m := range r.others {
+		ranked[m.centre] = append(ranked[m.centre], name)
+	}
+	for _, names := range ranked {
+		slices.SortFunc(names, func(a, b core.Instance) int {
+			return cmp.Or(cmp.Compare(weight(o, a), weight(o, b)), cmp.Compare(a, b))
+		})
+	}
+	owners := make([]core.Instance, r.Slots())
+	for slot := range owners {
+		names := ranked[r.centres[slot%len(r.centres)]]
+		if len(names) > 0 {
+			owners[slot] = names[slot/len(r.centres)%len(names)]
+		}
+	}
+	r.owners[o] = owners
+	return owners
+}
+
+// isOwner reports whether this instance owns a part of an organisation's limit, which it
+// may still have to wait to grant from.
+func (r *Roster) isOwner(o core.Organisation) bool { return slices.Contains(r.Owners(o), r.self.Name) }
+
+// Order returns the owners of an organisation's limit in the order in which this instance
+// asks them: itself, those of its data centre, and then the others, which different
+// instances ask in different orders.
+func (r *Roster) Order(o core.Organisation) []core.Instance {
+	if order, ok := r.orders[o]; ok {
+		return order
+	}
+	owners := slices.DeleteFunc(slices.Clone(r.Owners(o)), func(i core.Instance) bool { return i == "" })
+	distance := func(i core.Instance) int {
+		switch m := r.others[i]; {
+		case i == r.self.Name:
+			return 0
+		case m != nil && m.centre == r.self.DataCentre:
+			return 1
+		default:
+			return 2
+		}
+	}
+	own := core.Organisation(string(o) + "\x00" + string(r.self.Name))
+	slices.SortFunc(owners, func(a, b core.Instance) int {
+		return cmp.Or(cmp.Compare(distance(a), distance(b)), cmp.Compare(weight(own, a), weight(own, b)), cmp.Compare(a, b))
+	})
+	r.orders[o] = slices.Compact(owners)
+	return r.orders[o]
+}
+
+// weight is an instance's rendezvous hash for an organisation; lower weights come first.
+func weight(o core.Organisation, i core.Instance) uint64 {
+	return xxhash.Sum64String(string(o) + "\x00" + string(i))
+}
