Share the limits of organisations among the instances

Cause: an organisation's limit held nowhere. Change: a session takes a token for each operation and spends it right before sending; above the limit it is refused with 2012 and the time of the next token. Instances ask owners over the session port (LIMITS, TAKE, GRANT). Events 404 and 405, metrics, dump. Ruled out: charging at BEGIN, whose token would expire in the caller's pause.

--- a/core/event.go
+++ b/core/event.go
@@ -21,6 +21,8 @@
 	EventSessionError  Event = 401
 	EventRefused       Event = 402
 	EventKeyDenied     Event = 403
+	EventLimit         Event = 404
+	EventLimitOwner    Event = 405
 	EventStore         Event = 500
 	EventMembers       Event = 501
 	EventEndpoint      Event = 502
--- a/core/quota/stock.go
+++ b/core/quota/stock.go
@@ -95,8 +95,11 @@
 	return s.demand * math.Exp(-now.Sub(s.demandAt).Seconds()/demandTime.Seconds())
 }
 
-// ArrivedAt returns when the last operation arrived.
-func (s *Stock) ArrivedAt() time.Time { return s.demandAt }
+// IsIdle reports whether no operation waits and no answer is awaited.
+func (s *Stock) IsIdle() bool {
+	_, isPending := s.Pending(s.demandAt)
+	return s.waiting == 0 && !isPending
+}
 
 // Wait records that an operation waits for a token, or with -1 that it no longer does.
 func (s *Stock) Wait(n int) { s.waiting += n }
--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -7,14 +7,17 @@
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/quota"
 )
 
 // Callers implements the protocol between callers and the instance.
 type Callers struct {
 	// Start performs the handshake on a new connection, up to the first statement.
 	Start func(conn net.Conn) (*Caller, error)
-	// StartRelayed performs the handshake for a session that another instance relays.
-	StartRelayed func(conn net.Conn, v ConfigVersions) (*Caller, error)
+	// StartRelayed performs the handshake for a session that another instance relays. On a
+	// connection for another purpose it serves the other instance until that closes it, and
+	// returns an error.
+	StartRelayed func(conn net.Conn, v ConfigVersions, answer func(LimitQuestion) LimitAnswer) (*Caller, error)
 }
 
 // ConfigVersions exchanges configuration versions between instances, so that a relayed
@@ -149,6 +152,39 @@
 	// Maintain keeps this instance's entry alive and passes all live instances to offer
 	// until ctx ends.
 	Maintain func(ctx context.Context, offer func(live []Peer)) error
+	// Listing describes the list that was offered last; nil if it is always current.
+	Listing func() Listing
+	// Silence is the longest usual time between two values of HeardAt.
+	Silence time.Duration
+}
+
+// Listing describes a list of live instances.
+type Listing struct {
+	// HeardAt is when the source of the list was last heard.
+	HeardAt time.Time
+	// Listed is true if the list names this instance.
+	Listed bool
+	// Resumed is true if this instance was listed when its process started.
+	Resumed bool
+}
+
+// Limits implements the messages between instances about limits of organisations.
+type Limits struct {
+	// Ask sends a question to another instance and returns its answer; nil if there are no
+	// other instances.
+	Ask func(ctx context.Context, to Peer, q LimitQuestion) (LimitAnswer, error)
+}
+
+// LimitQuestion asks an instance for tokens of several organisations.
+type LimitQuestion struct {
+	From     core.Instance
+	Requests []quota.Request
+}
+
+// LimitAnswer answers a LimitQuestion with one reply to each request, in order.
+type LimitAnswer struct {
+	Sign    quota.Sign
+	Replies []quota.Reply
 }
 
 // Promoter makes an endpoint the primary of its group.
@@ -165,6 +201,7 @@
 	LeaseStore   LeaseStore
 	Membership   Membership
 	Promoter     Promoter
+	Limits       Limits
 	// Now reads a clock that also advances while the process is suspended.
 	Now func() time.Time
 }
--- a/proxy/home_instances.go
+++ b/proxy/home_instances.go
@@ -22,6 +22,7 @@
 // updatePeers applies a new list of instances.
 func (c *control) updatePeers(listed []Peer) {
 	now := c.proxy.now()
+	c.proxy.limits.observe(listed)
 	for _, p := range listed {
 		c.lastListed[p.Name] = listedPeer{peer: p, listedAt: now}
 	}
--- /dev/null
+++ b/proxy/limits_report.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+
+	"anviltack/core"
+	"anviltack/core/quota"
+)
+
+// largestOrganisations is how many organisations have metrics of their own; those of the
+// others are added up.
+const largestOrganisations = 10
+
+// heldDump is the stock of an organisation in the dump.
+type heldDump struct {
+	Organisation core.Organisation
+	Tokens       int
+	// Demand is the estimated number of operations a second.
+	Demand  float64
+	Granted int64
+	Refused int64
+	// Owners are the instances that are asked for tokens, in order.
+	Owners []core.Instance
+}
+
+// limitsDump is the state of the limits in the dump.
+type limitsDump struct {
+	// MayGrant is true if the instance grants from the parts of limits that it owns.
+	MayGrant bool
+	Owned    []quota.Owned
+	Held     []heldDump
+}
+
+func (l *limits) dump() limitsDump {
+	now := l.proxy.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := limitsDump{MayGrant: l.roster.MayGrant(), Owned: l.ledger.Owned(now)}
+	for o, s := range l.stocks {
+		d.Held = append(d.Held, heldDump{
+			Organisation: o, Tokens: s.Held(now), Demand: s.Demand(now), Granted: s.granted, Refused: s.refused, Owners: l.roster.Order(o),
+		})
+	}
+	return d
+}
+
+// writeMetrics writes the counters of the organisations with the most operations, and those
+// of all others together.
+func (l *limits) writeMetrics(w io.Writer) {
+	type counters struct {
+		organisation     core.Organisation
+		granted, refused int64
+	}
+	var all []counters
+	l.mu.Lock()
+	for o, s := range l.stocks {
+		all = append(all, counters{o, s.granted, s.refused})
+	}
+	l.mu.Unlock()
+	slices.SortFunc(all, func(a, b counters) int {
+		return cmp.Or(cmp.Compare(b.granted+b.refused, a.granted+a.refused), cmp.Compare(a.organisation, b.organisation))
+	})
+	var others counters
+	for i, c := range all {
+		if i >= largestOrganisations {
+			others.granted += c.granted
+			others.refused += c.refused
+			continue
+		}
+		fmt.Fprintf(w, "anviltack_limit_granted{organisation=%q} %d\nanviltack_limit_refused{organisation=%q} %d\n", c.organisation, c.granted, c.organisation, c.refused)
+	}
+	fmt.Fprintf(w, "anviltack_limit_granted_others %d\nanviltack_limit_refused_others %d\n", others.granted, others.refused)
+}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -29,6 +29,9 @@
 	sessionPanics   metrics.Counter
 	keysDenied      metrics.Counter
 	storeRestores   metrics.Counter
+	limitsGranted   metrics.Counter
+	limitsRefused   metrics.Counter
+	limitsAsked     metrics.Counter
 	readTime        metrics.Histogram
 	writeTime       metrics.Histogram
 	confirmTime     metrics.Histogram
@@ -52,6 +55,9 @@
 		sessionPanics:   metrics.GetOrRegisterCounter("session_panics", r),
 		keysDenied:      metrics.GetOrRegisterCounter("sessions_denied", r),
 		storeRestores:   metrics.GetOrRegisterCounter("store_restores", r),
+		limitsGranted:   metrics.GetOrRegisterCounter("limits_granted", r),
+		limitsRefused:   metrics.GetOrRegisterCounter("limits_refused", r),
+		limitsAsked:     metrics.GetOrRegisterCounter("limits_asked", r),
 		readTime:        histogram("read_ns"),
 		writeTime:       histogram("write_ns"),
 		confirmTime:     histogram("confirm_ns"),
@@ -126,6 +132,7 @@
 			}
 		}
 	})
+	p.limits.writeMetrics(w)
 }
 
 // groupDump is the state of one group in the dump.
@@ -173,7 +180,8 @@
 		StoreEra uint64
 		Sessions int
 		Groups   []groupDump
-	}{Instance: p.settings.Instance, Ready: p.IsReady(), Sessions: p.sessionCount(), Groups: groups}
+		Limits   limitsDump
+	}{Instance: p.settings.Instance, Ready: p.IsReady(), Sessions: p.sessionCount(), Groups: groups, Limits: p.limits.dump()}
 	body.StoreEra, _ = p.dependencies.LeaseStore.Era()
 	if c := p.config.Load(); c != nil {
 		body.Version = c.Version
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -24,8 +24,10 @@
 
 // Settings configure an instance at its start.
 type Settings struct {
-	Instance      string
-	DataCentre    string
+	Instance   string
+	DataCentre string
+	// DataCentres are those in which there may be instances.
+	DataCentres   []core.DataCentre
 	CallerAddress netip.AddrPort
 	// SessionAddress is where sessions relayed by other instances are accepted; they
 	// are not accepted if it is invalid.
@@ -35,6 +37,9 @@
 	MetricsAddress netip.AddrPort
 	// GracePeriod is the time between the signal to stop and the kill.
 	GracePeriod time.Duration
+	// LimitSlack is how many operations more than the limit of an organisation allows may
+	// run in any few seconds.
+	LimitSlack float64
 }
 
 // placement is an immutable snapshot of which groups this instance and others serve.
@@ -72,6 +77,7 @@
 	// endpointCount is the number of endpoints that this instance connects to.
 	endpointCount atomic.Int64
 	control       *control
+	limits        *limits
 	drainer       *drainer
 	probes        probes
 	// isolated is true while no group can be reached.
@@ -101,6 +107,7 @@
 	}
 	p.counts = newCounts(p.metrics)
 	p.control = newControl(p)
+	p.limits = newLimits(p)
 	p.drainer = newDrainer(p)
 	p.placement.Store(&placement{})
 	return p
@@ -143,6 +150,7 @@
 	root.Add(service{name: "callers", run: func(ctx context.Context) error {
 		return p.listen(ctx, p.settings.CallerAddress, p.dependencies.Callers.Start)
 	}})
+	root.Add(service{name: "limits", run: p.limits.run})
 	if p.settings.SessionAddress.IsValid() {
 		root.Add(service{name: "sessions", run: func(ctx context.Context) error {
 			return p.listen(ctx, p.settings.SessionAddress, p.startRelayed)
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -41,7 +41,7 @@
 		if err == nil {
 			return a
 		}
-		if e == "" {
+		if e == "" || isLimitReached(err) {
 			// An overloaded endpoint may serve the read before a lagging one catches up.
 			if !isOverloaded(lastErr) {
 				lastErr = err
@@ -93,7 +93,7 @@
 	if err != nil {
 		return Answer{}, "", err
 	}
-	c, err := e.acquire(s.connectionRequest(e, r, arrived, remaining))
+	c, err := s.acquire(e, r, arrived, remaining)
 	if err != nil {
 		return Answer{}, e.info.Name, err
 	}
@@ -104,6 +104,7 @@
 	c.release(err == nil)
 	if err == nil {
 		err = a.Err
+		s.keepToken(err)
 	}
 	a.State, a.Point = StateIdle, core.Point{}
 	return a, e.info.Name, err
@@ -185,7 +186,7 @@
 		return Answer{}, "", err
 	}
 	g.addDemand(failover.Demand{AsOf: arrived})
-	c, err := e.acquire(s.connectionRequest(e, r, arrived, remaining))
+	c, err := s.acquire(e, r, arrived, remaining)
 	if err != nil {
 		return Answer{}, "", err
 	}
@@ -193,6 +194,7 @@
 	c.release(err == nil)
 	if err == nil {
 		err = a.Err
+		s.keepToken(err)
 	}
 	if err != nil {
 		return Answer{}, e.info.Name, err
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -25,7 +25,7 @@
 
 // startRelayed accepts a session that another instance relays.
 func (p *Proxy) startRelayed(conn net.Conn) (*Caller, error) {
-	return p.dependencies.Callers.StartRelayed(conn, p.configVersions())
+	return p.dependencies.Callers.StartRelayed(conn, p.configVersions(), p.limits.answer)
 }
 
 // relay relays a session to a home instance of its group. It reports false if this
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -40,8 +40,9 @@
 	// stopping makes the session end before its next statement; other goroutines set
 	// it.
 	stopping atomic.Bool
-	// organisation is that of the operation that runs.
+	// organisation is that of the operation that runs, and operation its token.
 	organisation core.Organisation
+	operation    operationToken
 	// keyWithdrawnAt is when a configuration without the caller's key came into force, in
 	// nanoseconds since 1970; zero while the key is known. Other goroutines set it.
 	keyWithdrawnAt atomic.Int64
@@ -162,6 +163,7 @@
 		arrived := s.proxy.now()
 		s.proxy.minimumVersion.await(s.proxy)
 		a := s.answer(st, arrived)
+		s.returnToken()
 		if a.Err != nil {
 			s.lastRefusalAt = s.proxy.now()
 		}
@@ -237,6 +239,9 @@
 		return s.executeInTransaction(st, access, arrived)
 	}
 	r, g, err := s.startOperation()
+	if err == nil {
+		err = s.charge()
+	}
 	if err != nil {
 		return s.fail(err)
 	}
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -72,7 +72,7 @@
 	case "configure": // configure VERSION DATABASE FRESHNESS, or without a route
 		s.configure(f[1:])
 		return "version " + strconv.FormatUint(s.proxy.config.Load().Version, 10)
-	case "organisations": // organisations VERSION ORGANISATION=KEY ...
+	case "organisations": // organisations VERSION ORGANISATION=KEY[:RATE:BURST] ...
 		s.configureOrganisations(f[1:])
 		return "version " + strconv.FormatUint(s.proxy.config.Load().Version, 10)
 	case "ended": // ended CALLER: waits for the end of its session
@@ -114,8 +114,8 @@
 	s.offer(c)
 }
 
-// configureOrganisations offers a configuration with organisations that hold one key each;
-// the route to the database public is public.
+// configureOrganisations offers a configuration with organisations that hold one key each,
+// and may have a limit; the route to the database public is public.
 func (s *simulation) configureOrganisations(f []string) {
 	version, _ := strconv.ParseUint(f[0], 10, 64)
 	c := testConfig(version)
@@ -125,7 +125,10 @@
 	c.Organisations = make(map[core.Organisation]OrganisationSettings)
 	for _, pair := range f[1:] {
 		name, key, _ := strings.Cut(pair, "=")
-		c.Organisations[core.Organisation(name)] = OrganisationSettings{Keys: []core.Key{core.Key(key)}}
+		key, limit, _ := strings.Cut(key, ":")
+		var rate, burst float64
+		_, _ = fmt.Sscanf(limit, "%g:%g", &rate, &burst)
+		c.Organisations[core.Organisation(name)] = OrganisationSettings{Keys: []core.Key{core.Key(key)}, Rate: rate, Burst: burst}
 	}
 	s.offer(c)
 }
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -99,8 +99,11 @@
 	return core.NewError(core.CodeTransactionLost, "%v", err).WithRetry(defaultRetryAfter)
 }
 
-// openTransaction opens the transaction at an endpoint.
+// openTransaction opens the transaction, which is one operation, at an endpoint.
 func (s *session) openTransaction(arrived time.Time) error {
+	if err := s.charge(); err != nil {
+		return err
+	}
 	tried := map[core.Endpoint]bool{}
 	var lastErr error
 	for range maxOpenAttempts {
@@ -109,7 +112,7 @@
 			return nil
 		}
 		lastErr = err
-		if e == "" {
+		if e == "" || isLimitReached(err) {
 			return err
 		}
 		tried[e] = true
@@ -134,7 +137,7 @@
 	if err != nil {
 		return "", err
 	}
-	c, err := e.acquire(s.connectionRequest(e, tx.route, arrived, remaining))
+	c, err := s.acquire(e, tx.route, arrived, remaining)
 	if err != nil {
 		return e.info.Name, err
 	}
@@ -143,6 +146,7 @@
 	if err == nil {
 		err = a.Err
 		if err != nil {
+			s.keepToken(err)
 			c.release(true)
 		}
 	} else {
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -62,7 +62,7 @@
 		if err != nil {
 			return s.fail(err)
 		}
-		c, err := e.acquire(s.connectionRequest(e, r, arrived, remaining))
+		c, err := s.acquire(e, r, arrived, remaining)
 		if err != nil {
 			return s.fail(err)
 		}
@@ -76,6 +76,7 @@
 			return s.acknowledge(a, commit{endpoint: e, sentAt: sentAt, term: term, route: r, group: g}, arrived)
 		}
 		lastErr = a.Err
+		s.keepToken(a.Err)
 		if !s.awaitRetry(g, a.Err) {
 			break
 		}
