Let an instance that was without a list wait before it grants again

An instance came back from a cut after its entry had expired and granted on while another had taken over; instances of a cut-off data centre relied on lists that they had never seen current. Change: after more than 5 s without a list an instance settles anew, and it settles only while its list is current; a list stays superseded until the source is heard again. The simulation visits instances in a fixed order, so that a seed gives one run. Ruled out: a longer wait before a takeover alone, as the owner that comes back does not know that it was replaced.

--- a/core/quota/faults_test.go
+++ b/core/quota/faults_test.go
@@ -86,7 +86,7 @@
 	case 8: // the entries of all are lost
 		clear(s.renewed)
 	case 9: // herd
-		for _, n := range s.nodes {
+		for _, n := range s.all() {
 			if !n.left && s.random.IntN(2) == 0 {
 				s.kill(n, s.jitter(2*time.Second))
 			}
@@ -108,8 +108,8 @@
 			s := newSimulation(seed, 1+int(seed%4), 4+int(seed*7%30))
 			s.limits = limits
 			s.play(settle)
-			for o, limit := range limits {
-				s.load(o, 3*limit.Rate, 4*time.Minute, everywhere)
+			for _, o := range []core.Organisation{"small", "middle", "large"} {
+				s.load(o, 3*limits[o].Rate, 4*time.Minute, everywhere)
 			}
 			for range 40 {
 				s.play(s.jitter(10 * time.Second))
@@ -150,7 +150,7 @@
 		s.load("small", 2.5, 2*time.Minute, everywhere)
 		s.load("large", 124, 2*time.Minute, everywhere)
 		s.play(30 * time.Second)
-		for _, n := range s.nodes {
+		for _, n := range s.all() {
 			s.kill(n, down)
 		}
 		s.play(down + within)
--- a/core/quota/roster.go
+++ b/core/quota/roster.go
@@ -21,8 +21,9 @@
 	// retention is how long an instance that is no longer listed counts as an owner: it may
 	// only be unable to renew its entry.
 	retention = 20 * time.Second
-	// absenceGrace is how long an instance that is no longer listed itself grants on: the
-	// entries of all may be missing for a moment when their store comes back.
+	// absenceGrace is how long an instance that is no longer listed itself grants on, as the
+	// entries of all may be missing for a moment when their store comes back; and how long
+	// it may be without a list and then go on.
 	absenceGrace = 5 * time.Second
 	// currencyMargin is how much longer than the usual silence of the list's source the
 	// list counts as current.
@@ -65,11 +66,15 @@
 	digest uint64
 	absent int
 	// heardAt is when the source of the list was last heard, contactAt when an instance
-	// near this one last answered that has no newer list, and informedAt when one answered
-	// that has.
-	heardAt    time.Time
-	contactAt  time.Time
-	informedAt time.Time
+	// near this one last answered that has no newer list, and newerAt when the source of
+	// another list was last heard elsewhere.
+	heardAt   time.Time
+	contactAt time.Time
+	newerAt   time.Time
+	// inForceAt is when this instance could last rely on its list. isSettled is true once
+	// nobody relies on a list by which others own its parts.
+	inForceAt time.Time
+	isSettled bool
 	// grantsSince is since when this instance has been allowed to grant from the parts
 	// that it owns; zero if it is not. changedAt is when the owners last changed.
 	grantsSince time.Time
@@ -174,7 +179,9 @@
 	case sign.Digest == r.digest:
 		r.Hear(heardAt)
 	case heardAt.After(r.heardAt):
-		r.informedAt = sentAt
+		if heardAt.After(r.newerAt) {
+			r.newerAt = heardAt
+		}
 		return
 	case m == nil || m.centre != r.self.DataCentre && !r.isAlone():
 		return
@@ -239,7 +246,7 @@
 	case r.isCurrent(now), len(r.others) == 0:
 		return true
 	default:
-		return now.Sub(r.contactAt) <= contactTTL && now.Sub(r.informedAt) > contactTTL
+		return now.Sub(r.contactAt) <= contactTTL && !r.newerAt.After(r.heardAt)
 	}
 }
 
@@ -257,19 +264,36 @@
 		}
 	}
 	if !r.goneAt.IsZero() && now.Sub(r.goneAt) >= retention {
-		r.listedSince, r.goneAt, r.resumed = time.Time{}, time.Time{}, false
+		r.listedSince, r.goneAt = time.Time{}, time.Time{}
+		r.resumed, r.isSettled = false, false
 		r.change(now)
 	}
-	isSettled := !r.listedSince.IsZero() && (r.resumed || now.Sub(r.listedSince) >= r.takeoverDelay())
-	isSettled = isSettled && (r.goneAt.IsZero() || now.Sub(r.goneAt) < absenceGrace)
-	switch {
-	case !isSettled || !r.isInForce(now):
+	isInForce := r.isInForce(now)
+	if isInForce {
+		r.noteInForce(now)
+	}
+	if !isInForce || !r.isSettled || !r.goneAt.IsZero() && now.Sub(r.goneAt) >= absenceGrace {
 		r.grantsSince = time.Time{}
-	case r.grantsSince.IsZero():
+	} else if r.grantsSince.IsZero() {
 		r.grantsSince = now
 	}
 }
 
+// noteInForce records that this instance relies on its list, and settles it. After a time
+// without a list its entry may have been missing for that time, so it is as good as new.
+func (r *Roster) noteInForce(now time.Time) {
+	if !r.inForceAt.IsZero() && now.Sub(r.inForceAt) > absenceGrace {
+		r.resumed, r.isSettled = false, false
+		if !r.listedSince.IsZero() {
+			r.listedSince = now
+		}
+	}
+	r.inForceAt = now
+	if !r.listedSince.IsZero() && r.isCurrent(now) && (r.resumed || now.Sub(r.listedSince) >= r.takeoverDelay()) {
+		r.isSettled = true
+	}
+}
+
 // ownsSince returns since when this instance has owned its present parts, at the latest.
 func (r *Roster) ownsSince() time.Time {
 	if r.changedAt.After(r.grantsSince) {
--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -3,8 +3,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"anviltack/core"
@@ -339,17 +341,21 @@
 	return true
 }
 
+// all returns the instances in a fixed order.
+func (s *simulation) all() []*simNode {
+	nodes := slices.Collect(maps.Values(s.nodes))
+	slices.SortFunc(nodes, func(a, b *simNode) int { return strings.Compare(string(a.self.Name), string(b.self.Name)) })
+	return nodes
+}
+
 // load lets operations arrive at random among some instances until a time.
 func (s *simulation) load(o core.Organisation, rate float64, until time.Duration, at func(*simNode) bool) {
 	var nodes []*simNode
-	for _, n := range s.nodes {
+	for _, n := range s.all() {
 		if at(n) {
 			nodes = append(nodes, n)
 		}
 	}
-	slices.SortFunc(nodes, func(a, b *simNode) int {
-		return slices.Compare([]byte(a.self.Name), []byte(b.self.Name))
-	})
 	end := s.now.Add(until)
 	var next func()
 	next = func() {
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -30,8 +30,10 @@
 
 	mu     sync.Mutex
 	roster *quota.Roster
-	ledger *quota.Ledger
-	stocks map[core.Organisation]*limitStock
+	// isResumed is true once the roster knows that the instance was listed at its start.
+	isResumed bool
+	ledger    *quota.Ledger
+	stocks    map[core.Organisation]*limitStock
 	// peers are the other instances by name, as they were last listed.
 	peers map[core.Instance]Peer
 	links map[core.Instance]*ownerLink
@@ -99,7 +101,8 @@
 func (l *limits) refreshLocked() {
 	listing := l.proxy.listing()
 	l.roster.Hear(listing.HeardAt)
-	if listing.Resumed {
+	if listing.Resumed && !l.isResumed {
+		l.isResumed = true
 		l.roster.Resume()
 	}
 	l.roster.Tick(l.proxy.now())
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -56,10 +56,18 @@
 	return f.now
 }
 
+// advance lets time pass, in which the instances do what is due.
 func (f *limitFleet) advance(d time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.now = f.now.Add(d)
+	for d > 0 {
+		step := min(d, limitsInterval)
+		d -= step
+		f.mu.Lock()
+		f.now = f.now.Add(step)
+		f.mu.Unlock()
+		for _, p := range f.proxies {
+			p.limits.tick()
+		}
+	}
 }
 
 func (f *limitFleet) ask(ctx context.Context, to Peer, q LimitQuestion) (LimitAnswer, error) {
@@ -156,8 +164,8 @@
 func TestExpiredTokenIsReplaced(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newLimitFleet(t, OrganisationSettings{Rate: 0.001, Burst: 40})
-	f.advance(time.Hour * 10)
+	f := newLimitFleet(t, OrganisationSettings{Rate: 1, Burst: 40})
+	f.advance(time.Minute)
 	s := &session{proxy: f.proxies["i0"], organisation: "o"}
 	spent := func() int64 { return f.proxies["i0"].counts.limitsGranted.Count() }
 	is.NoErr(s.charge())
