--- a/proxy/traffic.go
+++ b/proxy/traffic.go
@@ -27,12 +27,14 @@
 	TrafficEndpoints      TrafficKind = "endpoints"
 	TrafficCallers        TrafficKind = "callers"
 	TrafficPromotions     TrafficKind = "promotions"
+	// TrafficLimits is questions about the limits of organisations and their answers.
+	TrafficLimits TrafficKind = "limits"
 )
 
 // trafficKinds are all kinds.
 var trafficKinds = []TrafficKind{
 	TrafficStore, TrafficWatches, TrafficStreams, TrafficSessions, TrafficLists, TrafficConfigurations,
-	TrafficEndpoints, TrafficCallers, TrafficPromotions,
+	TrafficEndpoints, TrafficCallers, TrafficPromotions, TrafficLimits,
 }
 
 // trafficLogInterval is the time between two log lines with the totals.
