Leave a place in flight to statements with an idle connection

Cause: openings could hold all places in flight for up to connectTimeout, and when they failed nothing dispatched: a statement whose own connection was idle waited for ever. Change: openings of other organisations hold at most all places but one, and connect dispatches after a failure. Ruled out: openings that no longer count once overdue, which needs their times. Result: TestMixOpeningsLeaveAPlace and TestFailedOpeningsGrantOthers failed before (the latter after 1 m without a connection) and pass.

--- a/core/pool/mix.go
+++ b/core/pool/mix.go
@@ -189,10 +189,11 @@
 }
 
 // CanRun reports whether a statement of an organisation can run now: one of its
-// connections is idle, and a place in flight is free or held by one of its openings.
+// connections is idle, and a place in flight is free or held by one of its openings. The
+// openings of others leave one place to statements, since they may last.
 func (m *Mix) CanRun(o core.Organisation) bool {
 	a, ok := m.organisations[o]
-	return ok && a.idle > 0 && m.InFlight+m.Opening-a.opening < m.MaxInFlight
+	return ok && a.idle > 0 && m.InFlight+min(m.Opening-a.opening, m.MaxInFlight-1) < m.MaxInFlight
 }
 
 // StepKind is what has to be done next.
--- a/core/pool/mix_test.go
+++ b/core/pool/mix_test.go
@@ -308,3 +308,29 @@
 	_, ok = m.Unused(start.Add(3*idleTimeout), proves)
 	is.True(!ok) // the last one stays
 }
+
+// TestMixOpeningsLeaveAPlace checks that openings which last leave a place to statements
+// that have an idle connection, also where only one is in flight.
+func TestMixOpeningsLeaveAPlace(t *testing.T) {
+	for _, inFlight := range []int{1, 2, 5} {
+		is := is.New(t)
+		start, none := time.Unix(1000, 0), func(uint64) bool { return false }
+		m := NewMix()
+		m.SetLimits(start, 13, inFlight)
+		m.Reserve("y")
+		m.AddIdle(start, 1, "y")
+		for n := range inFlight {
+			m.Wait(Waiting{ID: uint64(n + 1), Organisation: core.Organisation(fmt.Sprint("o", n))})
+			is.Equal(m.Next(start, true, none).Kind, StepOpen)
+		}
+		m.Wait(Waiting{ID: 100, Organisation: "y"})
+		is.Equal(m.Next(start, true, none).Kind, StepRun)
+		m.Take(1)
+		m.Run(start, "y")
+		m.StopWaiting(100)
+		m.Reserve("y")
+		m.AddIdle(start, 2, "y")
+		m.Wait(Waiting{ID: 101, Organisation: "y"})
+		is.Equal(m.Next(start, true, none).Kind, StepNone) // only one
+	}
+}
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -273,6 +273,7 @@
 	e.reconnectAt = now.Add(reconnectDelay)
 	e.recordFullLocked(now, err)
 	e.rejectWaitersLocked(func(waiting core.Organisation) bool { return !e.mix.CanServe(waiting) }, core.NewError(core.CodeNoConnection, "could not connect to %s", e.info.Name).WithRetry(e.reconnectAt.Sub(now)))
+	e.dispatchLocked(now)
 }
 
 // rejectHopelessLocked rejects the waiters that an overloaded queue will not serve in time.
--- a/proxy/endpoint_test.go
+++ b/proxy/endpoint_test.go
@@ -97,3 +97,45 @@
 	held.release(true)
 	is.NoErr(receive(t, results, "grant"))
 }
+
+func (e *endpoint) openings() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mix.Opening
+}
+
+// TestFailedOpeningsGrantOthers checks that a statement which has an idle connection runs
+// while the openings of other organisations last, and that the places of those that fail go
+// to the statements that wait.
+func TestFailedOpeningsGrantOthers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim, e := newTestEndpoint(t, 12)
+	held := make([]*endpointConn, 2)
+	for i := range held {
+		var err error
+		held[i], err = e.acquire(connectionRequest{organisation: "y", maxWait: stepTimeout})
+		is.NoErr(err)
+	}
+	for _, c := range held {
+		c.release(true)
+	}
+	sim.setField(sim.find("p"), "dark", "yes")
+	rejections := make(chan error, e.mix.MaxInFlight)
+	for i := range e.mix.MaxInFlight {
+		go func() {
+			_, err := e.acquire(connectionRequest{organisation: core.Organisation(fmt.Sprint("o", i)), maxWait: stepTimeout})
+			rejections <- err
+		}()
+	}
+	for begin := time.Now(); e.openings() < e.mix.MaxInFlight; time.Sleep(time.Millisecond) {
+		is.True(time.Since(begin) < stepTimeout)
+	}
+	begin := time.Now()
+	_, err := e.acquire(connectionRequest{organisation: "y", maxWait: stepTimeout})
+	is.NoErr(err)
+	is.True(time.Since(begin) < connectTimeout/2)
+	_, err = e.acquire(connectionRequest{organisation: "y", maxWait: 2 * connectTimeout})
+	is.NoErr(err) // the first one still runs
+	is.Equal(asError(receive(t, rejections, "rejection")).Code, core.CodeNoConnection)
+}
