Close at most one idle connection for openings that may fail

Cause: each dial to an endpoint without room closed a working idle connection first, also while every dial failed; a failed opening left its place to a statement as if it had succeeded; a failed dial of a sample left its room unused until something else happened. Change: no further idle connection is closed until a connection was established (or the limit changed); OpeningFailed beside Opened; a failed sample dial dispatches. Ruled out: to count failures, which the first success would have to reset as well. Result: TestMixLosesOneConnection and TestFailedSampleGrants failed before and pass.

--- a/core/pool/mix.go
+++ b/core/pool/mix.go
@@ -45,9 +45,12 @@
 	waiting []Waiting
 	// ranLast is set if Next last gave a place in flight to a statement, not to an opening.
 	ranLast bool
-	// opened holds the organisations whose openings ended and left their places in flight to
-	// a statement.
+	// opened holds the organisations whose openings succeeded and left their places in flight
+	// to a statement.
 	opened []core.Organisation
+	// replacing is set from the step that closes a connection to make room for another
+	// until one is established: at most one working connection is lost to openings that fail.
+	replacing bool
 }
 
 // Waiting is a waiting statement.
@@ -97,7 +100,7 @@
 
 // SetLimits sets MaxOpen and MaxInFlight, and forgets organisations without use.
 func (m *Mix) SetLimits(now time.Time, maxOpen, maxInFlight int) {
-	m.MaxOpen, m.MaxInFlight = maxOpen, maxInFlight
+	m.MaxOpen, m.MaxInFlight, m.replacing = maxOpen, maxInFlight, m.replacing && m.MaxOpen == maxOpen
 	for o, a := range m.organisations {
 		if a.open == 0 && a.waiting == 0 && a.useAt(now) < minUse {
 			delete(m.organisations, o)
@@ -127,15 +130,26 @@
 	m.account(o).open++
 }
 
-// Opened records the end of an opening that Next requested. The connection is in use
-// then; if it failed, it has to be passed to Closed.
+// Opened records that an opening which Next requested succeeded. The connection is in use
+// then.
 func (m *Mix) Opened(o core.Organisation) {
 	m.Opening--
 	m.account(o).opening--
 	m.opened = append(m.opened, o)
+	m.Established()
 }
 
-// Closed records the end of a connection that was in use or failed to open.
+// OpeningFailed records that an opening which Next requested failed.
+func (m *Mix) OpeningFailed(o core.Organisation) {
+	m.Opening--
+	m.account(o).opening--
+	m.Closed(o)
+}
+
+// Established records that the endpoint accepted a connection, also one of Reserve.
+func (m *Mix) Established() { m.replacing = false }
+
+// Closed records the end of a connection that was in use, or of Reserve and failed to open.
 func (m *Mix) Closed(o core.Organisation) {
 	m.Open--
 	m.account(o).open--
@@ -258,7 +272,7 @@
 
 // nextOpening returns the step towards the next opening, if one is needed and possible.
 func (m *Mix) nextOpening(now time.Time, proves func(id uint64) bool) Step {
-	if m.InFlight+m.Opening >= m.MaxInFlight {
+	if m.InFlight+m.Opening >= m.MaxInFlight || m.Open >= m.MaxOpen && m.replacing {
 		return Step{}
 	}
 	var next *Waiting
@@ -276,6 +290,7 @@
 		if !ok {
 			return Step{}
 		}
+		m.replacing = true
 		return Step{Kind: StepClose, Organisation: next.Organisation, Connection: id}
 	}
 	a := m.account(next.Organisation)
--- a/core/pool/mix_test.go
+++ b/core/pool/mix_test.go
@@ -334,3 +334,34 @@
 		is.Equal(m.Next(start, true, none).Kind, StepNone) // only one
 	}
 }
+
+// TestMixLosesOneConnection checks that no second idle connection is closed for openings
+// before one succeeded, and that its failure leaves no place to a statement.
+func TestMixLosesOneConnection(t *testing.T) {
+	is := is.New(t)
+	start, none := time.Unix(1000, 0), func(uint64) bool { return false }
+	m := NewMix()
+	m.SetLimits(start, 3, 3)
+	for id := range uint64(3) {
+		m.Reserve("y")
+		m.AddIdle(start, id+1, "y")
+	}
+	for id, o := range []core.Organisation{"a", "b"} {
+		m.Wait(Waiting{ID: uint64(id + 1), Organisation: o})
+	}
+	is.Equal(m.Next(start, true, none).Kind, StepClose)
+	m.Take(1)
+	m.Closed("y")
+	is.Equal(m.Next(start, true, none), Step{Kind: StepOpen, Organisation: "a"})
+	is.Equal(m.Next(start, true, none), Step{}) // b waits
+	m.OpeningFailed("a")
+	is.Equal(m.Next(start, true, none).Kind, StepOpen) // of one of them, in the room left
+	is.Equal(m.Next(start, true, none), Step{})
+	m.Opened("a")
+	m.AddIdle(start, 4, "a")
+	is.Equal(m.Next(start, true, none).Kind, StepRun)
+	m.Take(4)
+	m.Run(start, "a")
+	m.StopWaiting(1)
+	is.Equal(m.Next(start, true, none).Kind, StepClose)
+}
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -329,13 +329,16 @@
 	if isResponse(err) {
 		e.noteResponse(p.now())
 	}
-	if err == nil {
-		return newEndpointConn(e, c, "", p.now()), nil
-	}
+	now := p.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if err == nil {
+		e.mix.Established()
+		return newEndpointConn(e, c, "", now), nil
+	}
 	e.mix.Closed("")
-	e.recordFullLocked(p.now(), err)
+	e.recordFullLocked(now, err)
+	e.dispatchLocked(now)
 	return nil, err
 }
 
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -263,13 +263,13 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.mix.Opened(o)
 	if err == nil {
+		e.mix.Opened(o)
 		e.noteResponseLocked(now)
 		e.addIdleLocked(now, newEndpointConn(e, c, o, now))
 		return
 	}
-	e.mix.Closed(o)
+	e.mix.OpeningFailed(o)
 	e.reconnectAt = now.Add(reconnectDelay)
 	e.recordFullLocked(now, err)
 	e.rejectWaitersLocked(func(waiting core.Organisation) bool { return !e.mix.CanServe(waiting) }, core.NewError(core.CodeNoConnection, "could not connect to %s", e.info.Name).WithRetry(e.reconnectAt.Sub(now)))
--- a/proxy/endpoint_test.go
+++ b/proxy/endpoint_test.go
@@ -139,3 +139,27 @@
 	is.NoErr(err) // the first one still runs
 	is.Equal(asError(receive(t, rejections, "rejection")).Code, core.CodeNoConnection)
 }
+
+// TestFailedSampleGrants checks that the room of a sample's connection which failed to open
+// goes to a statement that waits.
+func TestFailedSampleGrants(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim, e := newTestEndpoint(t, 1)
+	c, err := e.takeIdleOrReserve(false)
+	is.True(c == nil && err == nil)
+	result := make(chan error, 1)
+	go func() {
+		_, err := e.acquire(connectionRequest{organisation: "y", maxWait: 4 * connectTimeout})
+		result <- err
+	}()
+	sim.waitFor(func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.queue.Len() == 1
+	})
+	sim.setField(sim.find("p"), "dark", "yes")
+	_, err = e.dial()
+	is.True(err != nil)
+	is.Equal(asError(receive(t, result, "rejection")).Code, core.CodeNoConnection) // it tried to connect
+}
