Reserve an opening together with the close that makes its room

Cause: close and open were separate steps, each with its own choice, so that the room of a closed connection could go to its own organisation, which opened it again. Change: StepReplace does both; a connection of an organisation is kept if one of its waiting statements comes no later in the order of openings than the one that needs the room. Ruled out: to keep it for every waiter of equal priority: three busy organisations would then hold three connections for ever and others get none. The order of openings puts an organisation without a connection first.

--- a/core/pool/mix.go
+++ b/core/pool/mix.go
@@ -74,6 +74,8 @@
 type account struct {
 	// open, opening, idle and waiting count connections as in Mix, and waiting statements.
 	open, opening, idle, waiting int
+	// needed is set while leastNeeded runs if the idle connections are to be kept.
+	needed bool
 	// use is the number of statements that ran, weighted by useHalfLife, as of usedAt.
 	use    float64
 	usedAt time.Time
@@ -221,8 +223,8 @@
 	StepRun StepKind = "run"
 	// StepOpen is to open a connection for the organisation.
 	StepOpen StepKind = "open"
-	// StepClose is to close an idle connection to make room for one of the organisation.
-	StepClose StepKind = "close"
+	// StepReplace is to close an idle connection and to open one for the organisation.
+	StepReplace StepKind = "replace"
 )
 
 // Step is what has to be done next.
@@ -285,21 +287,19 @@
 	if next == nil {
 		return Step{}
 	}
+	step := Step{Kind: StepOpen, Organisation: next.Organisation}
 	if m.Open >= m.MaxOpen {
-		id, ok := m.leastNeeded(now, proves)
+		id, ok := m.leastNeeded(now, proves, next)
 		if !ok {
 			return Step{}
 		}
-		m.replacing = true
-		return Step{Kind: StepClose, Organisation: next.Organisation, Connection: id}
+		step.Kind, step.Connection, m.replacing = StepReplace, id, true
 	}
-	a := m.account(next.Organisation)
-	m.Open++
-	a.open++
+	m.Reserve(next.Organisation)
 	m.Opening++
-	a.opening++
+	m.account(next.Organisation).opening++
 	m.ranLast = false
-	return Step{Kind: StepOpen, Organisation: next.Organisation}
+	return step
 }
 
 // compareOpenings orders waiting statements that need a connection to be opened: by
@@ -318,13 +318,16 @@
 	if m.Open <= m.MaxOpen {
 		return 0, false
 	}
-	return m.leastNeeded(now, proves)
+	return m.leastNeeded(now, proves, nil)
 }
 
 // leastNeeded prefers organisations without waiting statements, then those with the
-// least use for each connection, then connections that have been idle for longest.
-func (m *Mix) leastNeeded(now time.Time, proves func(id uint64) bool) (uint64, bool) {
+// least use for each connection, then connections that have been idle for longest. Those of
+// organisations with a waiting statement that would get an opening no later than next, if
+// set, are kept.
+func (m *Mix) leastNeeded(now time.Time, proves func(id uint64) bool, next *Waiting) (uint64, bool) {
 	proof := m.onlyProof(proves)
+	m.markNeeded(next)
 	best := -1
 	compare := func(a, b idleConnection) int {
 		of, than := m.account(a.organisation), m.account(b.organisation)
@@ -335,6 +338,9 @@
 		)
 	}
 	for i, c := range m.idle {
+		if m.account(c.organisation).needed {
+			continue
+		}
 		if best < 0 || compare(c, m.idle[best]) < 0 {
 			best = i
 		}
@@ -345,6 +351,21 @@
 	return m.idle[best].id, true
 }
 
+// markNeeded sets needed of the organisations with idle connections.
+func (m *Mix) markNeeded(next *Waiting) {
+	for _, c := range m.idle {
+		m.account(c.organisation).needed = false
+	}
+	if next == nil {
+		return
+	}
+	for i := range m.waiting {
+		if w := &m.waiting[i]; m.compareOpenings(w, next) <= 0 {
+			m.account(w.Organisation).needed = true
+		}
+	}
+}
+
 // onlyProof returns the connection that alone proves the uptime, zero if there is none.
 func (m *Mix) onlyProof(proves func(id uint64) bool) uint64 {
 	only := uint64(0)
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -193,9 +193,10 @@
 			}
 		case pool.StepOpen:
 			go e.connect(step.Organisation)
-		case pool.StepClose:
+		case pool.StepReplace:
 			e.groupControl.control.proxy.counts.connsReplaced.Inc(1)
 			e.closeConnLocked(e.takeIdleLocked(step.Connection))
+			go e.connect(step.Organisation)
 		case pool.StepNone:
 			return
 		}
