Make the mix's next step cheap while nothing can run

Cause: Next looked up the account of every waiting statement at each dispatch, also without organisations and with no place in flight free; SetLimits walked all accounts each time; the proxy wrote the counts of the mix itself. Change: Next returns at once if nothing waits or no place is free; statements and idle connections keep their account; statements that can run are found by the idle connections; Begin, End and SetMaxInFlight. Ruled out: counts for each account of what can run, which every change would have to keep. TestMixForgets failed before (it looked up each time).

--- a/core/pool/mix.go
+++ b/core/pool/mix.go
@@ -28,7 +28,8 @@
 // is opened and which idle one is closed. The empty organisation is the instance itself.
 type Mix struct {
 	// MaxOpen limits the connections that are opened for statements, and MaxInFlight the
-	// statements that run and the connections that are being opened for others.
+	// statements that run and the connections that are being opened for others. Only the
+	// methods of Mix change them and the counts.
 	MaxOpen     int
 	MaxInFlight int
 	// InFlight counts the statements that run.
@@ -62,11 +63,14 @@
 	Priority int
 	// Deadline is when the statement should be complete.
 	Deadline time.Time
+	// account is that of the organisation; a statement that waits keeps it.
+	account *account
 }
 
 type idleConnection struct {
 	id           uint64
 	organisation core.Organisation
+	account      *account
 	since        time.Time
 }
 
@@ -100,8 +104,12 @@
 	return a
 }
 
-// SetLimits sets MaxOpen and MaxInFlight, and forgets organisations without use.
+// SetLimits sets MaxOpen and MaxInFlight. If one changes, it forgets organisations without
+// use.
 func (m *Mix) SetLimits(now time.Time, maxOpen, maxInFlight int) {
+	if m.MaxOpen == maxOpen && m.MaxInFlight == maxInFlight {
+		return
+	}
 	m.MaxOpen, m.MaxInFlight, m.replacing = maxOpen, maxInFlight, m.replacing && m.MaxOpen == maxOpen
 	for o, a := range m.organisations {
 		if a.open == 0 && a.waiting == 0 && a.useAt(now) < minUse {
@@ -110,17 +118,21 @@
 	}
 }
 
+// SetMaxInFlight sets MaxInFlight.
+func (m *Mix) SetMaxInFlight(n int) { m.MaxInFlight = n }
+
 // Wait records that a statement waits for a connection.
 func (m *Mix) Wait(w Waiting) {
+	w.account = m.account(w.Organisation)
+	w.account.waiting++
 	m.waiting = append(m.waiting, w)
-	m.account(w.Organisation).waiting++
 }
 
 // StopWaiting records that a statement no longer waits.
 func (m *Mix) StopWaiting(id uint64) {
 	i := slices.IndexFunc(m.waiting, func(w Waiting) bool { return w.ID == id })
 	if i >= 0 {
-		m.account(m.waiting[i].Organisation).waiting--
+		m.waiting[i].account.waiting--
 		m.waiting = slices.Delete(m.waiting, i, i+1)
 	}
 }
@@ -159,15 +171,16 @@
 
 // AddIdle records that a connection in use became idle.
 func (m *Mix) AddIdle(now time.Time, id uint64, o core.Organisation) {
-	m.idle = append(m.idle, idleConnection{id: id, organisation: o, since: now})
-	m.account(o).idle++
+	a := m.account(o)
+	a.idle++
+	m.idle = append(m.idle, idleConnection{id: id, organisation: o, account: a, since: now})
 }
 
 // Take removes an idle connection, which is in use then.
 func (m *Mix) Take(id uint64) {
 	i := slices.IndexFunc(m.idle, func(c idleConnection) bool { return c.id == id })
 	if i >= 0 {
-		m.account(m.idle[i].organisation).idle--
+		m.idle[i].account.idle--
 		m.idle = slices.Delete(m.idle, i, i+1)
 	}
 }
@@ -179,6 +192,12 @@
 	m.InFlight++
 }
 
+// Begin records that a statement runs on a connection that its transaction keeps.
+func (m *Mix) Begin() { m.InFlight++ }
+
+// End records that a statement ended.
+func (m *Mix) End() { m.InFlight-- }
+
 // Newest returns the most recently used idle connection of an organisation.
 func (m *Mix) Newest(o core.Organisation) (uint64, bool) {
 	for _, c := range slices.Backward(m.idle) {
@@ -209,7 +228,11 @@
 // openings of others leave one place to statements, since they may last.
 func (m *Mix) CanRun(o core.Organisation) bool {
 	a, ok := m.organisations[o]
-	return ok && a.idle > 0 && m.InFlight+min(m.Opening-a.opening, m.MaxInFlight-1) < m.MaxInFlight
+	return ok && m.canRun(a)
+}
+
+func (m *Mix) canRun(a *account) bool {
+	return a.idle > 0 && m.InFlight+min(m.Opening-a.opening, m.MaxInFlight-1) < m.MaxInFlight
 }
 
 // StepKind is what has to be done next.
@@ -244,10 +267,14 @@
 // proves the endpoint's uptime; the last idle one that does is closed only if no other
 // is idle.
 func (m *Mix) Next(now time.Time, mayOpen bool, proves func(id uint64) bool) Step {
+	if len(m.waiting) == 0 || m.InFlight >= m.MaxInFlight {
+		m.opened = m.opened[:0]
+		return Step{}
+	}
 	if o, ok := m.nextOpened(); ok {
 		return Step{Kind: StepRun, IsUsable: func(other core.Organisation) bool { return other == o }}
 	}
-	canRun := slices.ContainsFunc(m.waiting, func(w Waiting) bool { return m.CanRun(w.Organisation) })
+	canRun := slices.ContainsFunc(m.idle, func(c idleConnection) bool { return c.account.waiting > 0 && m.canRun(c.account) })
 	if mayOpen && (m.ranLast || !canRun) {
 		if s := m.nextOpening(now, proves); s.Kind != StepNone {
 			return s
@@ -274,13 +301,14 @@
 
 // nextOpening returns the step towards the next opening, if one is needed and possible.
 func (m *Mix) nextOpening(now time.Time, proves func(id uint64) bool) Step {
-	if m.InFlight+m.Opening >= m.MaxInFlight || m.Open >= m.MaxOpen && m.replacing {
+	isFull := m.Open >= m.MaxOpen
+	if m.InFlight+m.Opening >= m.MaxInFlight || isFull && (m.replacing || len(m.idle) == 0) {
 		return Step{}
 	}
 	var next *Waiting
 	for i := range m.waiting {
 		w := &m.waiting[i]
-		if a := m.account(w.Organisation); a.idle == 0 && a.waiting > a.opening && (next == nil || m.compareOpenings(w, next) < 0) {
+		if a := w.account; a.idle == 0 && a.waiting > a.opening && (next == nil || m.compareOpenings(w, next) < 0) {
 			next = w
 		}
 	}
@@ -288,7 +316,7 @@
 		return Step{}
 	}
 	step := Step{Kind: StepOpen, Organisation: next.Organisation}
-	if m.Open >= m.MaxOpen {
+	if isFull {
 		id, ok := m.leastNeeded(now, proves, next)
 		if !ok {
 			return Step{}
@@ -297,7 +325,7 @@
 	}
 	m.Reserve(next.Organisation)
 	m.Opening++
-	m.account(next.Organisation).opening++
+	next.account.opening++
 	m.ranLast = false
 	return step
 }
@@ -307,7 +335,7 @@
 func (m *Mix) compareOpenings(a, b *Waiting) int {
 	return cmp.Or(
 		cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(m.account(a.Organisation).open, m.account(b.Organisation).open),
+		cmp.Compare(a.account.open, b.account.open),
 		a.Deadline.Compare(b.Deadline),
 	)
 }
@@ -330,7 +358,7 @@
 	m.markNeeded(next)
 	best := -1
 	compare := func(a, b idleConnection) int {
-		of, than := m.account(a.organisation), m.account(b.organisation)
+		of, than := a.account, b.account
 		return cmp.Or(
 			compareBool(a.id == proof, b.id == proof),
 			compareBool(of.waiting > 0, than.waiting > 0),
@@ -338,7 +366,7 @@
 		)
 	}
 	for i, c := range m.idle {
-		if m.account(c.organisation).needed {
+		if c.account.needed {
 			continue
 		}
 		if best < 0 || compare(c, m.idle[best]) < 0 {
@@ -354,14 +382,14 @@
 // markNeeded sets needed of the organisations with idle connections.
 func (m *Mix) markNeeded(next *Waiting) {
 	for _, c := range m.idle {
-		m.account(c.organisation).needed = false
+		c.account.needed = false
 	}
 	if next == nil {
 		return
 	}
 	for i := range m.waiting {
 		if w := &m.waiting[i]; m.compareOpenings(w, next) <= 0 {
-			m.account(w.Organisation).needed = true
+			w.account.needed = true
 		}
 	}
 }
@@ -406,7 +434,7 @@
 		if c.id != m.onlyProof(proves) {
 			return c.id, true
 		}
-		m.idle = append(slices.Delete(m.idle, i, i+1), idleConnection{id: c.id, organisation: c.organisation, since: now})
+		m.idle = append(slices.Delete(m.idle, i, i+1), idleConnection{id: c.id, organisation: c.organisation, account: c.account, since: now})
 		j := slices.IndexFunc(m.idle, func(other idleConnection) bool { return other.organisation == c.organisation })
 		if m.idle[j].id == c.id {
 			return 0, false
@@ -429,7 +457,7 @@
 func (m *Mix) ForControl(now time.Time, fits func(id uint64) bool) (uint64, bool) {
 	best, bestUse := uint64(0), math.Inf(1)
 	for _, c := range slices.Backward(m.idle) {
-		if use := m.account(c.organisation).useAt(now); use < bestUse && fits(c.id) {
+		if use := c.account.useAt(now); use < bestUse && fits(c.id) {
 			best, bestUse = c.id, use
 		}
 	}
--- a/core/pool/mix_test.go
+++ b/core/pool/mix_test.go
@@ -114,7 +114,7 @@
 			r.conn = uint64(s.opened)
 			s.owners[r.conn] = r.Organisation
 		} else {
-			s.mix.InFlight--
+			s.mix.End()
 			delete(s.used, r.conn)
 		}
 		s.mix.AddIdle(s.now, r.conn, r.Organisation)
@@ -399,3 +399,40 @@
 		}
 	}
 }
+
+// TestMixForgets checks that an unused organisation is forgotten when the limits change, and
+// that nothing is looked up if they don't.
+func TestMixForgets(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	m := NewMix()
+	m.SetLimits(start, 3, 3)
+	m.Reserve("a")
+	m.Closed("a")
+	m.SetLimits(start, 3, 3)
+	is.Equal(len(m.organisations), 1)
+	m.SetLimits(start, 4, 3)
+	is.Equal(len(m.organisations), 0)
+}
+
+// BenchmarkMixFull measures Next while statements of many organisations wait for a place.
+func BenchmarkMixFull(b *testing.B) {
+	for _, waiting := range []int{0, 20, 200} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			start, none := time.Unix(1000, 0), func(uint64) bool { return false }
+			m := NewMix()
+			m.SetLimits(start, 13, 2)
+			m.Reserve("o00")
+			m.Run(start, "o00")
+			m.Reserve("o01")
+			m.Run(start, "o01")
+			for n := range waiting {
+				m.Wait(Waiting{ID: uint64(n + 1), Organisation: organisationName(n%84, 84)})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Next(start, true, none)
+			}
+		})
+	}
+}
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -343,12 +343,12 @@
 	if c.grantedAt.IsZero() {
 		return
 	}
-	e.mix.InFlight--
+	e.mix.End()
 	took := now.Sub(c.grantedAt)
 	e.queue.ObserveServiceTime(took)
 	if c.succeeded {
 		e.inFlightLimit.Observe(c.database, took, e.queue.Len() > 0)
-		e.mix.MaxInFlight = e.inFlightLimit.Limit()
+		e.mix.SetMaxInFlight(e.inFlightLimit.Limit())
 	}
 	c.grantedAt, c.succeeded = time.Time{}, false
 }
@@ -362,7 +362,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c.grantedAt.IsZero() {
-		e.mix.InFlight++
+		e.mix.Begin()
 		c.grantedAt = now
 	}
 }
