Keep the place of a waiter whose idle connections broke; close the extra connection

Cause: such a waiter was taken out and added again, which made it new: its age, its organisation's tag and the queue's overload began again. The connection that a sample opened beyond the share stayed until it was idle for long. Change: queue.First looks at the next waiter, which is taken once it has a connection; the excess is closed when a connection of an organisation comes back and no sample runs. Ruled out: to check connections while the queue chooses, which costs a system call for each candidate; a way to put a waiter back, which would have to undo the tags of all. Result: TestTrimsExtraConnection failed before (2 connections open instead of 1); TestFirst needs the new method; both pass.

--- a/core/queue/fairness_test.go
+++ b/core/queue/fairness_test.go
@@ -151,3 +151,20 @@
 	is.True(len(q.forgotten) <= 11)
 	is.Equal(testing.AllocsPerRun(100, func() { serve(1, "a") }), 0.0)
 }
+
+// TestFirst checks that a waiter which is looked at keeps its place and its age.
+func TestFirst(t *testing.T) {
+	is := is.New(t)
+	var q Queue
+	for id, o := range []core.Organisation{"a", "b", "a", "b"} {
+		is.True(q.Add(epoch, share(uint64(id), o), 10))
+	}
+	for range 3 {
+		w, ok := q.First(epoch.Add(overloadAfter), func(o core.Organisation) bool { return o == "a" })
+		is.True(ok)
+		is.Equal(w.ID, uint64(2)) // the newest, since the queue counts as overloaded
+	}
+	_, ok := q.First(epoch, func(core.Organisation) bool { return false })
+	is.True(!ok)
+	is.Equal(drain(&q), []uint64{0, 1, 2, 3})
+}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -187,6 +187,25 @@
 // Organisations that are not usable are passed over and keep their place; a nil function makes
 // all usable.
 func (q *Queue) Pop(now time.Time, usable func(core.Organisation) bool) (Waiter, bool) {
+	next := q.first(now, usable)
+	if next < 0 {
+		return Waiter{}, false
+	}
+	q.waiters[next].flow.serve(now)
+	return q.removeAt(next), true
+}
+
+// First returns the waiter that Pop would return, and leaves it in the queue.
+func (q *Queue) First(now time.Time, usable func(core.Organisation) bool) (Waiter, bool) {
+	next := q.first(now, usable)
+	if next < 0 {
+		return Waiter{}, false
+	}
+	return q.waiters[next], true
+}
+
+// first returns the index of the waiter that Pop would return, -1 if there is none.
+func (q *Queue) first(now time.Time, usable func(core.Organisation) bool) int {
 	next := -1
 	for i, w := range q.waiters {
 		if next >= 0 && w.Priority != q.waiters[next].Priority {
@@ -196,11 +215,7 @@
 			next = i
 		}
 	}
-	if next < 0 {
-		return Waiter{}, false
-	}
-	q.waiters[next].flow.serve(now)
-	return q.removeAt(next), true
+	return next
 }
 
 // Reserved returns how many of n connections the next waiter is to leave free for more urgent
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -77,6 +77,8 @@
 	// that the endpoint last reported.
 	lag     time.Duration
 	running int
+	// sampling counts the control requests that have or open a connection.
+	sampling int
 	// laggingUntil is the time until which the endpoint gets no read that requires more
 	// than visible.
 	laggingUntil time.Time
@@ -116,9 +118,7 @@
 	now := e.groupControl.control.proxy.now()
 	e.inFlightLimit.SetShare(e.info.Slots, instances)
 	e.mix.SetLimits(now, place.ConnectionShare(connections, instances), e.inFlightLimit.Limit())
-	for id, ok := e.mix.LeastNeeded(now, e.provesUptimeLocked); ok; id, ok = e.mix.LeastNeeded(now, e.provesUptimeLocked) {
-		e.closeConnLocked(e.takeIdleLocked(id))
-	}
+	e.closeExcessLocked(now)
 }
 
 // candidate describes the endpoint to the routing of an organisation's reads.
@@ -315,6 +315,7 @@
 		upSince = c.recordUptime(sentAt)
 	}
 	var endpointErr *EndpointError
+	e.endRequest()
 	c.release(err == nil || errors.As(err, &endpointErr))
 	return r, upSince, err
 }
@@ -336,6 +337,7 @@
 		e.mix.Established()
 		return newEndpointConn(e, c, "", now), nil
 	}
+	e.sampling--
 	e.mix.Closed("")
 	e.recordFullLocked(now, err)
 	e.dispatchLocked(now)
@@ -385,6 +387,7 @@
 		e.closeIdleLocked()
 	}
 	if c := e.takeUptimeProofLocked(now); c != nil {
+		e.sampling++
 		return c, nil
 	}
 	if now.Before(e.fullUntil) {
@@ -394,9 +397,17 @@
 		return nil, &EndpointError{Kind: ErrorKindConnections, Text: "all connections of this instance are in use"}
 	}
 	e.mix.Reserve("")
+	e.sampling++
 	return nil, nil
 }
 
+// endRequest records the end of a control request that had a connection.
+func (e *endpoint) endRequest() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sampling--
+}
+
 // close closes all idle connections and rejects the waiters.
 func (e *endpoint) close() {
 	e.mu.Lock()
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -204,17 +203,18 @@
 }
 
 // grantNextLocked grants a connection to the first waiter of a usable organisation and
-// reports whether there is one. If all its connections broke while idle, it waits on.
+// reports whether there is one. If all its connections broke while idle, it waits on in
+// its place.
 func (e *endpoint) grantNextLocked(now time.Time, usable func(core.Organisation) bool) bool {
-	w, ok := e.queue.Pop(now, usable)
+	w, ok := e.queue.First(now, usable)
 	if !ok {
 		return false
 	}
 	c := e.takeNewestLocked(w.Organisation)
 	if c == nil {
-		e.queue.Add(now, w, math.MaxInt)
 		return true
 	}
+	e.queue.Pop(now, func(o core.Organisation) bool { return o == w.Organisation })
 	e.mix.Run(now, w.Organisation)
 	c.grantedAt = now
 	e.resolveLocked(w, grant{conn: c})
@@ -311,6 +311,16 @@
 	e.mix.AddIdle(now, c.id, c.organisation)
 	e.dispatchLocked(now)
 	e.closeUnusedLocked(now)
+	if c.organisation != "" && e.sampling == 0 {
+		e.closeExcessLocked(now)
+	}
+}
+
+// closeExcessLocked closes idle connections beyond the instance's share.
+func (e *endpoint) closeExcessLocked(now time.Time) {
+	for id, ok := e.mix.LeastNeeded(now, e.provesUptimeLocked); ok; id, ok = e.mix.LeastNeeded(now, e.provesUptimeLocked) {
+		e.closeConnLocked(e.takeIdleLocked(id))
+	}
 }
 
 // release returns the connection to the pool, or closes it if it is not usable.
--- a/proxy/endpoint_test.go
+++ b/proxy/endpoint_test.go
@@ -163,3 +163,28 @@
 	is.True(err != nil)
 	is.Equal(asError(receive(t, result, "rejection")).Code, core.CodeNoConnection) // it tried to connect
 }
+
+// TestTrimsExtraConnection checks that the connection which a sample opened beyond the
+// instance's share is closed when a statement's connection comes back, but not while a
+// sample runs.
+func TestTrimsExtraConnection(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	_, e := newTestEndpoint(t, 1)
+	y := connectionRequest{organisation: "y", maxWait: stepTimeout}
+	held, err := e.acquire(y)
+	is.NoErr(err)
+	_, _, err = e.request(false, func(*Conn) (Report, error) { return Report{}, nil })
+	is.NoErr(err)
+	is.Equal(e.dump().Open, 2)
+	_, _, err = e.request(false, func(*Conn) (Report, error) {
+		held.release(true)
+		return Report{}, nil
+	})
+	is.NoErr(err)
+	is.Equal(e.dump().Open, 2)
+	held, err = e.acquire(y)
+	is.NoErr(err)
+	held.release(true)
+	is.Equal(e.dump().Open, 1)
+}
