Use the fair queue of organisations at the endpoints

Cause: the proxy queued all organisations with equal weight, refused all with the same code and left no places to urgent statements; it refused for the time others take while places in flight were free. Change: waiters carry the organisation's limit as weight, computed when a configuration comes into force; arrivals are counted and shed by share; refusals take their code from the queue; while service times show that all slots are in use, places are kept for more urgent priorities; a statement that free places can serve is not refused. Without organisations nothing changes. Callers of public routes beside organisations count like the largest one. Ruled out: the endpoint's report of running statements, which is a second old between samples; counting openings among what the reserve holds back, because one that lasts would then block statements. Not measured: load.

--- a/core/place/in_flight.go
+++ b/core/place/in_flight.go
@@ -10,6 +10,9 @@
 	// maxGrowSlowdown is the slowdown up to which an instance with waiting statements may
 	// send more: fewer statements than two for each slot are at the endpoint.
 	maxGrowSlowdown = 1.8
+	// minFullSlowdown is the slowdown from which all slots count as in use: there are one and
+	// a half statements for each.
+	minFullSlowdown = 1.5
 	// minShrinkSlowdown is the slowdown from which it sends fewer: the endpoint queues more
 	// than InFlightPerSlot intends.
 	minShrinkSlowdown = 2.2
@@ -64,6 +67,9 @@
 // Limit returns how many statements may be in flight.
 func (f *InFlight) Limit() int { return max(1, int(f.limit)) }
 
+// IsFull reports whether the endpoint's slots are all in use, as its service times show.
+func (f *InFlight) IsFull() bool { return f.slowdown >= minFullSlowdown }
+
 // Observe records how long a statement of a database was at the endpoint. The limit grows
 // only while others wait for it.
 func (f *InFlight) Observe(d core.Database, took time.Duration, waiting bool) {
--- a/core/pool/mix.go
+++ b/core/pool/mix.go
@@ -235,6 +235,17 @@
 	return a.idle > 0 && m.InFlight+min(m.Opening-a.opening, m.MaxInFlight-1) < m.MaxInFlight
 }
 
+// Free returns how many more statements may be in flight than run, zero if none of the
+// organisation can be, because it has no connection and no room for one.
+func (m *Mix) Free(o core.Organisation) int {
+	a, ok := m.organisations[o]
+	hasConnection := ok && a.idle+a.opening > 0
+	if !hasConnection && m.Open >= m.MaxOpen && (len(m.idle) == 0 || m.replacing) {
+		return 0
+	}
+	return max(0, m.MaxInFlight-m.InFlight)
+}
+
 // StepKind is what has to be done next.
 type StepKind string
 
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -63,6 +63,8 @@
 	Organisations map[core.Organisation]OrganisationSettings
 	// keyHolders are the organisations by their keys.
 	keyHolders map[core.Key]core.Organisation
+	// weights are the shares of the organisations in the queues; nil without organisations.
+	weights map[core.Organisation]float64
 	// TransactionIdleTimeout is how long a transaction may stay idle.
 	TransactionIdleTimeout time.Duration
 }
--- a/proxy/control.go
+++ b/proxy/control.go
@@ -195,6 +195,7 @@
 	}
 	config.setShortestTargets()
 	config.indexKeys()
+	config.setWeights()
 	c.proxy.config.Store(config)
 	c.homes = nil
 	c.reconcileGroups()
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -85,9 +85,11 @@
 type connectionRequest struct {
 	// organisation is that of the statement's caller; empty for none.
 	organisation core.Organisation
-	database     core.Database
-	priority     int
-	deadline     time.Time
+	// weight is the share of the organisation in relation to others; zero stands for one.
+	weight   float64
+	database core.Database
+	priority int
+	deadline time.Time
 	// maxWait is how long the request may wait.
 	maxWait time.Duration
 	// target is that of the statement's route; shortestTarget is the shortest of the
@@ -100,7 +102,7 @@
 // and the time remaining until its timeout.
 func (s *session) connectionRequest(e *endpoint, r Route, arrived time.Time, remaining time.Duration) connectionRequest {
 	return connectionRequest{
-		organisation: s.organisation, database: s.caller.Database, priority: s.queuePriority(r, arrived), deadline: arrived.Add(r.TargetTime), maxWait: e.maxWait(arrived, remaining, r),
+		organisation: s.organisation, weight: s.proxy.config.Load().weights[s.organisation], database: s.caller.Database, priority: s.queuePriority(r, arrived), deadline: arrived.Add(r.TargetTime), maxWait: e.maxWait(arrived, remaining, r),
 		target: r.TargetTime, shortestTarget: r.shortestTarget,
 	}
 }
@@ -129,17 +131,11 @@
 		e.mu.Unlock()
 		return nil, core.NewError(core.CodeNoConnection, "endpoint %s is unreachable", e.info.Name).WithRetry(retryAfter)
 	}
-	if rand.Float64() < e.queue.ShedProbability(now.Sub(e.answeredAt), request.target, request.shortestTarget) {
-		retryAfter := e.queue.ServiceTime()
-		e.mu.Unlock()
-		return nil, core.NewError(core.CodeOverloaded, "%s is overloaded: statements take %v there", e.info.Name, retryAfter.Round(time.Millisecond)).WithRetry(retryAfter)
-	}
 	e.lastWaiterID++
-	w := queue.Waiter{ID: e.lastWaiterID, Organisation: request.organisation, Priority: request.priority, Deadline: request.deadline, MaxWait: request.maxWait}
-	if !e.queue.Add(now, w, e.mix.MaxInFlight) {
-		wait := e.queue.ExpectedWait(now, w, e.mix.MaxInFlight)
+	w := queue.Waiter{ID: e.lastWaiterID, Organisation: request.organisation, Weight: request.weight, Priority: request.priority, Deadline: request.deadline, MaxWait: request.maxWait}
+	if err := e.queueLocked(now, w, request); err != nil {
 		e.mu.Unlock()
-		return nil, core.NewError(core.CodeOverloaded, "the queue for %s is %v long", e.info.Name, wait.Round(time.Millisecond)).WithRetry(wait)
+		return nil, err
 	}
 	granted := make(chan grant, 1)
 	e.waiters[w.ID] = granted
@@ -154,6 +150,31 @@
 	return c, err
 }
 
+// queueLocked adds a statement to the queue, or returns why it is refused.
+func (e *endpoint) queueLocked(now time.Time, w queue.Waiter, request connectionRequest) error {
+	e.queue.Arrive(now, w)
+	if rand.Float64() < e.queue.ShedProbabilityOf(now, w, now.Sub(e.answeredAt), request.target, request.shortestTarget) {
+		retryAfter := e.queue.ServiceTime()
+		return e.refusalLocked(now, w, retryAfter, "%s is overloaded: statements take %v there", retryAfter)
+	}
+	free := 0
+	if w.Organisation != "" {
+		free = e.mix.Free(w.Organisation)
+	}
+	if !e.queue.AddBeside(now, w, e.mix.MaxInFlight, free) {
+		wait := e.queue.ExpectedWait(now, w, e.mix.MaxInFlight)
+		return e.refusalLocked(now, w, wait, "the queue for %s is %v long", wait)
+	}
+	return nil
+}
+
+// refusalLocked returns the error of a statement that is not queued, or no longer; its text
+// names the endpoint and a time.
+func (e *endpoint) refusalLocked(now time.Time, w queue.Waiter, retryAfter time.Duration, format string, d time.Duration) error {
+	code := e.queue.RefusalCode(now, w, e.mix.MaxInFlight)
+	return core.NewError(code, format, e.info.Name, d.Round(time.Millisecond)).WithRetry(retryAfter)
+}
+
 // awaitGrant waits for a connection, at most for the waiter's MaxWait.
 func (e *endpoint) awaitGrant(w queue.Waiter, granted chan grant) (*endpointConn, error) {
 	timer := time.NewTimer(w.MaxWait)
@@ -167,12 +188,13 @@
 	waited := e.queue.Remove(w.ID)
 	e.mix.StopWaiting(w.ID)
 	delete(e.waiters, w.ID)
+	err := e.refusalLocked(e.groupControl.control.proxy.now(), w, w.MaxWait, "no connection to %s came free in %v", w.MaxWait)
 	e.mu.Unlock()
 	if !waited {
 		g := <-granted
 		return g.conn, g.err
 	}
-	return nil, core.NewError(core.CodeOverloaded, "no connection to %s came free in %v", e.info.Name, w.MaxWait.Round(time.Millisecond)).WithRetry(w.MaxWait)
+	return nil, err
 }
 
 // isUnreachableLocked reports whether no connection can serve an organisation and none may
@@ -184,7 +206,7 @@
 // dispatchLocked grants connections to waiters and opens and closes connections for them,
 // as the mix decides.
 func (e *endpoint) dispatchLocked(now time.Time) {
-	for {
+	for !e.keepsPlacesLocked(now) {
 		switch step := e.mix.Next(now, !now.Before(e.reconnectAt), e.provesUptimeLocked); step.Kind {
 		case pool.StepRun:
 			if !e.grantNextLocked(now, step.IsUsable) {
@@ -202,6 +224,16 @@
 	}
 }
 
+// keepsPlacesLocked reports whether the places in flight that are left are kept for more
+// urgent statements than the next one.
+func (e *endpoint) keepsPlacesLocked(now time.Time) bool {
+	if !e.inFlightLimit.IsFull() {
+		return false
+	}
+	reserved := e.queue.Reserved(now, e.mix.MaxInFlight)
+	return reserved > 0 && e.mix.MaxInFlight-e.mix.InFlight <= reserved
+}
+
 // grantNextLocked grants a connection to the first waiter of a usable organisation and
 // reports whether there is one. If all its connections broke while idle, it waits on in
 // its place.
@@ -285,7 +317,7 @@
 			return
 		}
 		wait := e.queue.DrainTime(e.mix.MaxInFlight)
-		e.resolveLocked(w, grant{err: core.NewError(core.CodeOverloaded, "%s is overloaded: the queue takes %v", e.info.Name, wait.Round(time.Millisecond)).WithRetry(wait)})
+		e.resolveLocked(w, grant{err: e.refusalLocked(now, w, wait, "%s is overloaded: the queue takes %v", wait)})
 	}
 }
 
--- a/proxy/endpoint_test.go
+++ b/proxy/endpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -188,3 +189,121 @@
 	held.release(true)
 	is.Equal(e.dump().Open, 1)
 }
+
+// queued waits until a number of statements wait for a connection.
+func (s *simulation) queued(e *endpoint, n int) {
+	s.t.Helper()
+	s.waitFor(func() bool { return e.dump().Waiting == n })
+}
+
+// TestHotOrganisation checks that the statement of an organisation that sends little is
+// granted the next place before those of a hot one that came earlier, and that the hot one
+// is refused as beyond its share, while another one is admitted.
+func TestHotOrganisation(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim, e := newTestEndpoint(t, 12)
+	now := sim.proxy.now()
+	request := func(o core.Organisation, weight float64) connectionRequest {
+		return connectionRequest{organisation: o, weight: weight, deadline: now, maxWait: stepTimeout}
+	}
+	hot, small := request("hot", 10), request("small", 10)
+	small.deadline = now.Add(time.Second)
+	places := e.mix.MaxInFlight
+	grants := make(chan *endpointConn, 3*places)
+	acquire := func(r connectionRequest) {
+		if c, err := e.acquire(r); err == nil {
+			grants <- c
+		}
+	}
+	for range places {
+		go acquire(hot)
+	}
+	held := make([]*endpointConn, places)
+	for i := range held {
+		held[i] = receive(t, grants, "grant")
+	}
+	for n := range places {
+		go acquire(hot)
+		sim.queued(e, n+1)
+	}
+	go acquire(small)
+	sim.queued(e, places+1)
+	impatient := request("hot", 10)
+	impatient.maxWait = e.queue.ServiceTime() - time.Millisecond // less than all places take for what waits
+	_, err := e.acquire(impatient)
+	is.Equal(asError(err).Code, core.CodeFairShare)
+	is.True(asError(err).RetryAfter > 0)
+	first := make([]core.Organisation, 0, 2)
+	for i := range 2 {
+		held[i].release(true)
+		first = append(first, receive(t, grants, "grant").organisation)
+	}
+	is.True(slices.Contains(first, "small")) // an opening and a statement take turns
+}
+
+// TestLeavesPlacesToUrgent checks that statements of a less urgent priority leave places in
+// flight to the more urgent ones that come while the endpoint's slots are full, and take all
+// if they are not.
+func TestLeavesPlacesToUrgent(t *testing.T) {
+	for _, isFull := range []bool{false, true} {
+		is := is.New(t)
+		sim, e := newTestEndpoint(t, 12)
+		for range 200 {
+			e.inFlightLimit.Observe("d", 10*time.Millisecond, false)
+		}
+		for range 40 {
+			e.inFlightLimit.Observe("d", map[bool]time.Duration{false: 10 * time.Millisecond, true: 20 * time.Millisecond}[isFull], false)
+		}
+		places := e.mix.MaxInFlight
+		is.True(places > 1)
+		urgent := connectionRequest{organisation: "a", deadline: sim.proxy.now(), maxWait: stepTimeout}
+		patient := urgent
+		patient.priority = 1
+		for range 3 {
+			c, err := e.acquire(urgent)
+			is.NoErr(err)
+			c.release(true)
+		}
+		for range places - places/2 {
+			_, err := e.acquire(patient)
+			is.NoErr(err)
+		}
+		patient.maxWait = 50 * time.Millisecond
+		_, err := e.acquire(patient)
+		is.Equal(err != nil, isFull)
+		_, err = e.acquire(urgent)
+		is.NoErr(err)
+	}
+}
+
+// TestWeights checks the shares of organisations with and without a limit.
+func TestWeights(t *testing.T) {
+	is := is.New(t)
+	c := &Config{Organisations: map[core.Organisation]OrganisationSettings{"a": {Rate: 10}, "b": {Rate: 30}, "c": {}}}
+	c.setWeights()
+	is.Equal(c.weights, map[core.Organisation]float64{"": 30, "a": 10, "b": 30, "c": 30})
+	c = &Config{}
+	c.setWeights()
+	is.Equal(c.weights["a"], 0.0)
+}
+
+// TestFreePlacesRefuseNone checks that a statement is not refused for the time that others
+// take while places in flight are free for all.
+func TestFreePlacesRefuseNone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim, e := newTestEndpoint(t, 12)
+	e.queue.ObserveServiceTime(1000 * stepTimeout)
+	sim.setField(sim.find("p"), "dark", "yes")
+	results := make(chan error, 2)
+	for _, o := range []core.Organisation{"a", "b"} {
+		go func() {
+			_, err := e.acquire(connectionRequest{organisation: o, maxWait: stepTimeout})
+			results <- err
+		}()
+	}
+	for range 2 {
+		is.Equal(asError(receive(t, results, "rejection")).Code, core.CodeNoConnection)
+	}
+}
--- a/proxy/identity.go
+++ b/proxy/identity.go
@@ -20,6 +20,25 @@
 	}
 }
 
+// setWeights sets weights: the limits of the organisations. One without a limit, and the
+// callers of public routes that belong to none, count like the one with the largest.
+func (c *Config) setWeights() {
+	if c.Organisations == nil {
+		return
+	}
+	largest := 0.0
+	for _, o := range c.Organisations {
+		largest = max(largest, o.Rate)
+	}
+	c.weights = map[core.Organisation]float64{"": largest}
+	for name, o := range c.Organisations {
+		c.weights[name] = o.Rate
+		if o.Rate == 0 {
+			c.weights[name] = largest
+		}
+	}
+}
+
 // identify returns the organisation that holds a caller's key; empty for a caller without
 // one on a public route and where the configuration names no organisations.
 func (c *Config) identify(key core.Key, r Route) (core.Organisation, error) {
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -60,7 +60,7 @@
 
 func isOverloaded(err error) bool {
 	var e *core.Error
-	return errors.As(err, &e) && e.Code == core.CodeOverloaded
+	return errors.As(err, &e) && (e.Code == core.CodeOverloaded || e.Code == core.CodeFairShare)
 }
 
 // readError converts the last error of a read that failed at all endpoints. A read has
