--- a/core/pool/mix.go
+++ b/core/pool/mix.go
@@ -28,7 +28,8 @@
 // is opened and which idle one is closed. The empty organisation is the instance itself.
 type Mix struct {
 	// MaxOpen limits the connections that are opened for statements, and MaxInFlight the
-	// statements that run and the connections that are being opened for others.
+	// statements that run and the connections that are being opened for others. Only the
+	// methods of Mix change them and the counts.
 	MaxOpen     int
 	MaxInFlight int
 	// InFlight counts the statements that run.
@@ -45,9 +46,12 @@
 	waiting []Waiting
 	// ranLast is set if Next last gave a place in flight to a statement, not to an opening.
 	ranLast bool
-	// opened holds the organisations whose openings ended and left their places in flight to
-	// a statement.
+	// opened holds the organisations whose openings succeeded and left their places in flight
+	// to a statement.
 	opened []core.Organisation
+	// replacing is set from the step that closes a connection to make room for another
+	// until one is established: at most one working connection is lost to openings that fail.
+	replacing bool
 }
 
 // Waiting is a waiting statement.
@@ -59,11 +63,14 @@
 	Priority int
 	// Deadline is when the statement should be complete.
 	Deadline time.Time
+	// account is that of the organisation; a statement that waits keeps it.
+	account *account
 }
 
 type idleConnection struct {
 	id           uint64
 	organisation core.Organisation
+	account      *account
 	since        time.Time
 }
 
@@ -71,6 +78,8 @@
 type account struct {
 	// open, opening, idle and waiting count connections as in Mix, and waiting statements.
 	open, opening, idle, waiting int
+	// needed is set while leastNeeded runs if the idle connections are to be kept.
+	needed bool
 	// use is the number of statements that ran, weighted by useHalfLife, as of usedAt.
 	use    float64
 	usedAt time.Time
@@ -95,9 +104,13 @@
 	return a
 }
 
-// SetLimits sets MaxOpen and MaxInFlight, and forgets organisations without use.
+// SetLimits sets MaxOpen and MaxInFlight. If one changes, it forgets organisations without
+// use.
 func (m *Mix) SetLimits(now time.Time, maxOpen, maxInFlight int) {
-	m.MaxOpen, m.MaxInFlight = maxOpen, maxInFlight
+	if m.MaxOpen == maxOpen && m.MaxInFlight == maxInFlight {
+		return
+	}
+	m.MaxOpen, m.MaxInFlight, m.replacing = maxOpen, maxInFlight, m.replacing && m.MaxOpen == maxOpen
 	for o, a := range m.organisations {
 		if a.open == 0 && a.waiting == 0 && a.useAt(now) < minUse {
 			delete(m.organisations, o)
@@ -105,17 +118,21 @@
 	}
 }
 
+// SetMaxInFlight sets MaxInFlight.
+func (m *Mix) SetMaxInFlight(n int) { m.MaxInFlight = n }
+
 // Wait records that a statement waits for a connection.
 func (m *Mix) Wait(w Waiting) {
+	w.account = m.account(w.Organisation)
+	w.account.waiting++
 	m.waiting = append(m.waiting, w)
-	m.account(w.Organisation).waiting++
 }
 
 // StopWaiting records that a statement no longer waits.
 func (m *Mix) StopWaiting(id uint64) {
 	i := slices.IndexFunc(m.waiting, func(w Waiting) bool { return w.ID == id })
 	if i >= 0 {
-		m.account(m.waiting[i].Organisation).waiting--
+		m.waiting[i].account.waiting--
 		m.waiting = slices.Delete(m.waiting, i, i+1)
 	}
 }
@@ -127,15 +144,26 @@
 	m.account(o).open++
 }
 
-// Opened records the end of an opening that Next requested. The connection is in use
-// then; if it failed, it has to be passed to Closed.
+// Opened records that an opening which Next requested succeeded. The connection is in use
+// then.
 func (m *Mix) Opened(o core.Organisation) {
 	m.Opening--
 	m.account(o).opening--
 	m.opened = append(m.opened, o)
+	m.Established()
+}
+
+// OpeningFailed records that an opening which Next requested failed.
+func (m *Mix) OpeningFailed(o core.Organisation) {
+	m.Opening--
+	m.account(o).opening--
+	m.Closed(o)
 }
 
-// Closed records the end of a connection that was in use or failed to open.
+// Established records that the endpoint accepted a connection, also one of Reserve.
+func (m *Mix) Established() { m.replacing = false }
+
+// Closed records the end of a connection that was in use, or of Reserve and failed to open.
 func (m *Mix) Closed(o core.Organisation) {
 	m.Open--
 	m.account(o).open--
@@ -143,15 +171,16 @@
 
 // AddIdle records that a connection in use became idle.
 func (m *Mix) AddIdle(now time.Time, id uint64, o core.Organisation) {
-	m.idle = append(m.idle, idleConnection{id: id, organisation: o, since: now})
-	m.account(o).idle++
+	a := m.account(o)
+	a.idle++
+	m.idle = append(m.idle, idleConnection{id: id, organisation: o, account: a, since: now})
 }
 
 // Take removes an idle connection, which is in use then.
 func (m *Mix) Take(id uint64) {
 	i := slices.IndexFunc(m.idle, func(c idleConnection) bool { return c.id == id })
 	if i >= 0 {
-		m.account(m.idle[i].organisation).idle--
+		m.idle[i].account.idle--
 		m.idle = slices.Delete(m.idle, i, i+1)
 	}
 }
@@ -163,6 +192,12 @@
 	m.InFlight++
 }
 
+// Begin records that a statement runs on a connection that its transaction keeps.
+func (m *Mix) Begin() { m.InFlight++ }
+
+// End records that a statement ended.
+func (m *Mix) End() { m.InFlight-- }
+
 // Newest returns the most recently used idle connection of an organisation.
 func (m *Mix) Newest(o core.Organisation) (uint64, bool) {
 	for _, c := range slices.Backward(m.idle) {
@@ -189,10 +224,26 @@
 }
 
 // CanRun reports whether a statement of an organisation can run now: one of its
-// connections is idle, and a place in flight is free or held by one of its openings.
+// connections is idle, and a place in flight is free or held by one of its openings. The
+// openings of others leave one place to statements, since they may last.
 func (m *Mix) CanRun(o core.Organisation) bool {
 	a, ok := m.organisations[o]
-	return ok && a.idle > 0 && m.InFlight+m.Opening-a.opening < m.MaxInFlight
+	return ok && m.canRun(a)
+}
+
+func (m *Mix) canRun(a *account) bool {
+	return a.idle > 0 && m.InFlight+min(m.Opening-a.opening, m.MaxInFlight-1) < m.MaxInFlight
+}
+
+// Free returns how many more statements may be in flight than run, zero if none of the
+// organisation can be, because it has no connection and no room for one.
+func (m *Mix) Free(o core.Organisation) int {
+	a, ok := m.organisations[o]
+	hasConnection := ok && a.idle+a.opening > 0
+	if !hasConnection && m.Open >= m.MaxOpen && (len(m.idle) == 0 || m.replacing) {
+		return 0
+	}
+	return max(0, m.MaxInFlight-m.InFlight)
 }
 
 // StepKind is what has to be done next.
@@ -206,8 +257,8 @@
 	StepRun StepKind = "run"
 	// StepOpen is to open a connection for the organisation.
 	StepOpen StepKind = "open"
-	// StepClose is to close an idle connection to make room for one of the organisation.
-	StepClose StepKind = "close"
+	// StepReplace is to close an idle connection and to open one for the organisation.
+	StepReplace StepKind = "replace"
 )
 
 // Step is what has to be done next.
@@ -227,10 +278,14 @@
 // proves the endpoint's uptime; the last idle one that does is closed only if no other
 // is idle.
 func (m *Mix) Next(now time.Time, mayOpen bool, proves func(id uint64) bool) Step {
+	if len(m.waiting) == 0 || m.InFlight >= m.MaxInFlight {
+		m.opened = m.opened[:0]
+		return Step{}
+	}
 	if o, ok := m.nextOpened(); ok {
 		return Step{Kind: StepRun, IsUsable: func(other core.Organisation) bool { return other == o }}
 	}
-	canRun := slices.ContainsFunc(m.waiting, func(w Waiting) bool { return m.CanRun(w.Organisation) })
+	canRun := slices.ContainsFunc(m.idle, func(c idleConnection) bool { return c.account.waiting > 0 && m.canRun(c.account) })
 	if mayOpen && (m.ranLast || !canRun) {
 		if s := m.nextOpening(now, proves); s.Kind != StepNone {
 			return s
@@ -257,33 +312,33 @@
 
 // nextOpening returns the step towards the next opening, if one is needed and possible.
 func (m *Mix) nextOpening(now time.Time, proves func(id uint64) bool) Step {
-	if m.InFlight+m.Opening >= m.MaxInFlight {
+	isFull := m.Open >= m.MaxOpen
+	if m.InFlight+m.Opening >= m.MaxInFlight || isFull && (m.replacing || len(m.idle) == 0) {
 		return Step{}
 	}
 	var next *Waiting
 	for i := range m.waiting {
 		w := &m.waiting[i]
-		if a := m.account(w.Organisation); a.idle == 0 && a.waiting > a.opening && (next == nil || m.compareOpenings(w, next) < 0) {
+		if a := w.account; a.idle == 0 && a.waiting > a.opening && (next == nil || m.compareOpenings(w, next) < 0) {
 			next = w
 		}
 	}
 	if next == nil {
 		return Step{}
 	}
-	if m.Open >= m.MaxOpen {
-		id, ok := m.leastNeeded(now, proves)
+	step := Step{Kind: StepOpen, Organisation: next.Organisation}
+	if isFull {
+		id, ok := m.leastNeeded(now, proves, next)
 		if !ok {
 			return Step{}
 		}
-		return Step{Kind: StepClose, Organisation: next.Organisation, Connection: id}
+		step.Kind, step.Connection, m.replacing = StepReplace, id, true
 	}
-	a := m.account(next.Organisation)
-	m.Open++
-	a.open++
+	m.Reserve(next.Organisation)
 	m.Opening++
-	a.opening++
+	next.account.opening++
 	m.ranLast = false
-	return Step{Kind: StepOpen, Organisation: next.Organisation}
+	return step
 }
 
 // compareOpenings orders waiting statements that need a connection to be opened: by
@@ -291,7 +346,7 @@
 func (m *Mix) compareOpenings(a, b *Waiting) int {
 	return cmp.Or(
 		cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(m.account(a.Organisation).open, m.account(b.Organisation).open),
+		cmp.Compare(a.account.open, b.account.open),
 		a.Deadline.Compare(b.Deadline),
 	)
 }
@@ -302,16 +357,19 @@
 	if m.Open <= m.MaxOpen {
 		return 0, false
 	}
-	return m.leastNeeded(now, proves)
+	return m.leastNeeded(now, proves, nil)
 }
 
 // leastNeeded prefers organisations without waiting statements, then those with the
-// least use for each connection, then connections that have been idle for longest.
-func (m *Mix) leastNeeded(now time.Time, proves func(id uint64) bool) (uint64, bool) {
+// least use for each connection, then connections that have been idle for longest. Those of
+// organisations with a waiting statement that would get an opening no later than next, if
+// set, are kept.
+func (m *Mix) leastNeeded(now time.Time, proves func(id uint64) bool, next *Waiting) (uint64, bool) {
 	proof := m.onlyProof(proves)
+	m.markNeeded(next)
 	best := -1
 	compare := func(a, b idleConnection) int {
-		of, than := m.account(a.organisation), m.account(b.organisation)
+		of, than := a.account, b.account
 		return cmp.Or(
 			compareBool(a.id == proof, b.id == proof),
 			compareBool(of.waiting > 0, than.waiting > 0),
@@ -319,6 +377,9 @@
 		)
 	}
 	for i, c := range m.idle {
+		if c.account.needed {
+			continue
+		}
 		if best < 0 || compare(c, m.idle[best]) < 0 {
 			best = i
 		}
@@ -329,6 +390,21 @@
 	return m.idle[best].id, true
 }
 
+// markNeeded sets needed of the organisations with idle connections.
+func (m *Mix) markNeeded(next *Waiting) {
+	for _, c := range m.idle {
+		c.account.needed = false
+	}
+	if next == nil {
+		return
+	}
+	for i := range m.waiting {
+		if w := &m.waiting[i]; m.compareOpenings(w, next) <= 0 {
+			w.account.needed = true
+		}
+	}
+}
+
 // onlyProof returns the connection that alone proves the uptime, zero if there is none.
 func (m *Mix) onlyProof(proves func(id uint64) bool) uint64 {
 	only := uint64(0)
@@ -369,7 +445,7 @@
 		if c.id != m.onlyProof(proves) {
 			return c.id, true
 		}
-		m.idle = append(slices.Delete(m.idle, i, i+1), idleConnection{id: c.id, organisation: c.organisation, since: now})
+		m.idle = append(slices.Delete(m.idle, i, i+1), idleConnection{id: c.id, organisation: c.organisation, account: c.account, since: now})
 		j := slices.IndexFunc(m.idle, func(other idleConnection) bool { return other.organisation == c.organisation })
 		if m.idle[j].id == c.id {
 			return 0, false
@@ -392,7 +468,7 @@
 func (m *Mix) ForControl(now time.Time, fits func(id uint64) bool) (uint64, bool) {
 	best, bestUse := uint64(0), math.Inf(1)
 	for _, c := range slices.Backward(m.idle) {
-		if use := m.account(c.organisation).useAt(now); use < bestUse && fits(c.id) {
+		if use := c.account.useAt(now); use < bestUse && fits(c.id) {
 			best, bestUse = c.id, use
 		}
 	}
--- a/core/pool/mix_test.go
+++ b/core/pool/mix_test.go
@@ -114,7 +114,7 @@
 			r.conn = uint64(s.opened)
 			s.owners[r.conn] = r.Organisation
 		} else {
-			s.mix.InFlight--
+			s.mix.End()
 			delete(s.used, r.conn)
 		}
 		s.mix.AddIdle(s.now, r.conn, r.Organisation)
@@ -136,9 +136,10 @@
 			s.runFirst(step.IsUsable)
 		case StepOpen:
 			s.running = append(s.running, simulatedStatement{Waiting: Waiting{Organisation: step.Organisation}, endsAt: s.now.Add(openingTime)})
-		case StepClose:
+		case StepReplace:
 			s.replaced++
 			s.close(step.Connection)
+			s.running = append(s.running, simulatedStatement{Waiting: Waiting{Organisation: step.Organisation}, endsAt: s.now.Add(openingTime)})
 		case StepNone:
 			s.closeUnused(none)
 			return
@@ -298,13 +299,140 @@
 	}
 	proves := func(id uint64) bool { return id == 1 }
 	m.Wait(Waiting{ID: 1, Organisation: "c"})
-	is.Equal(m.Next(start, true, proves), Step{Kind: StepClose, Organisation: "c", Connection: 2})
+	is.Equal(m.Next(start, true, proves), Step{Kind: StepReplace, Organisation: "c", Connection: 2})
 	id, ok := m.Unused(start.Add(idleTimeout), proves)
 	is.True(!ok && id == 0) // 1 was renewed, 2 follows
 	id, ok = m.Unused(start.Add(idleTimeout), proves)
 	is.True(ok && id == 2)
 	m.Take(2)
 	m.Closed("b")
+	m.OpeningFailed("c")
 	_, ok = m.Unused(start.Add(3*idleTimeout), proves)
 	is.True(!ok) // the last one stays
 }
+
+// TestMixOpeningsLeaveAPlace checks that openings which last leave a place to statements
+// that have an idle connection, also where only one is in flight.
+func TestMixOpeningsLeaveAPlace(t *testing.T) {
+	for _, inFlight := range []int{1, 2, 5} {
+		is := is.New(t)
+		start, none := time.Unix(1000, 0), func(uint64) bool { return false }
+		m := NewMix()
+		m.SetLimits(start, 13, inFlight)
+		m.Reserve("y")
+		m.AddIdle(start, 1, "y")
+		for n := range inFlight {
+			m.Wait(Waiting{ID: uint64(n + 1), Organisation: core.Organisation(fmt.Sprint("o", n))})
+			is.Equal(m.Next(start, true, none).Kind, StepOpen)
+		}
+		m.Wait(Waiting{ID: 100, Organisation: "y"})
+		is.Equal(m.Next(start, true, none).Kind, StepRun)
+		m.Take(1)
+		m.Run(start, "y")
+		m.StopWaiting(100)
+		m.Reserve("y")
+		m.AddIdle(start, 2, "y")
+		m.Wait(Waiting{ID: 101, Organisation: "y"})
+		is.Equal(m.Next(start, true, none).Kind, StepNone) // only one
+	}
+}
+
+// TestMixLosesOneConnection checks that no second idle connection is closed for openings
+// before one succeeded, and that its failure leaves no place to a statement.
+func TestMixLosesOneConnection(t *testing.T) {
+	is := is.New(t)
+	start, none := time.Unix(1000, 0), func(uint64) bool { return false }
+	m := NewMix()
+	m.SetLimits(start, 3, 3)
+	for id := range uint64(3) {
+		m.Reserve("y")
+		m.AddIdle(start, id+1, "y")
+	}
+	for id, o := range []core.Organisation{"a", "b"} {
+		m.Wait(Waiting{ID: uint64(id + 1), Organisation: o})
+	}
+	is.Equal(m.Next(start, true, none), Step{Kind: StepReplace, Organisation: "a", Connection: 1})
+	m.Take(1)
+	m.Closed("y")
+	is.Equal(m.Next(start, true, none), Step{}) // b waits
+	m.OpeningFailed("a")
+	is.Equal(m.Next(start, true, none).Kind, StepOpen) // of one of them, in the room left
+	is.Equal(m.Next(start, true, none), Step{})
+	m.Opened("a")
+	m.AddIdle(start, 4, "a")
+	is.Equal(m.Next(start, true, none).Kind, StepRun)
+	m.Take(4)
+	m.Run(start, "a")
+	m.StopWaiting(1)
+	is.Equal(m.Next(start, true, none).Kind, StepReplace)
+}
+
+// TestMixKeepsNeeded checks that no idle connection is closed of an organisation with a
+// statement which would have to open it again before the one that needs the room, and that
+// an organisation with several gives way to one with none.
+func TestMixKeepsNeeded(t *testing.T) {
+	for _, c := range []struct {
+		connections, priority int
+		want                  StepKind
+	}{
+		{1, 0, StepRun},     // of y, more urgent
+		{1, 1, StepReplace}, // y has one, z none
+		{2, 1, StepReplace},
+		{1, 2, StepReplace},
+	} {
+		is := is.New(t)
+		start, none := time.Unix(1000, 0), func(uint64) bool { return false }
+		m := NewMix()
+		m.SetLimits(start, c.connections, 1)
+		for id := range c.connections {
+			m.Reserve("y")
+			m.AddIdle(start, uint64(id+1), "y")
+		}
+		m.ranLast = true
+		m.Wait(Waiting{ID: 1, Organisation: "y", Priority: c.priority})
+		m.Wait(Waiting{ID: 2, Organisation: "z", Priority: 1})
+		step := m.Next(start, true, none)
+		is.Equal(step.Kind, c.want)
+		if step.Kind == StepReplace {
+			is.Equal(step.Organisation, core.Organisation("z")) // opened in the same step
+			is.Equal(m.Opening, 1)
+		}
+	}
+}
+
+// TestMixForgets checks that an unused organisation is forgotten when the limits change, and
+// that nothing is looked up if they don't.
+func TestMixForgets(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	m := NewMix()
+	m.SetLimits(start, 3, 3)
+	m.Reserve("a")
+	m.Closed("a")
+	m.SetLimits(start, 3, 3)
+	is.Equal(len(m.organisations), 1)
+	m.SetLimits(start, 4, 3)
+	is.Equal(len(m.organisations), 0)
+}
+
+// BenchmarkMixFull measures Next while statements of many organisations wait for a place.
+func BenchmarkMixFull(b *testing.B) {
+	for _, waiting := range []int{0, 20, 200} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			start, none := time.Unix(1000, 0), func(uint64) bool { return false }
+			m := NewMix()
+			m.SetLimits(start, 13, 2)
+			m.Reserve("o00")
+			m.Run(start, "o00")
+			m.Reserve("o01")
+			m.Run(start, "o01")
+			for n := range waiting {
+				m.Wait(Waiting{ID: uint64(n + 1), Organisation: organisationName(n%84, 84)})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Next(start, true, none)
+			}
+		})
+	}
+}
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -86,9 +85,11 @@
 type connectionRequest struct {
 	// organisation is that of the statement's caller; empty for none.
 	organisation core.Organisation
-	database     core.Database
-	priority     int
-	deadline     time.Time
+	// weight is the share of the organisation in relation to others; zero stands for one.
+	weight   float64
+	database core.Database
+	priority int
+	deadline time.Time
 	// maxWait is how long the request may wait.
 	maxWait time.Duration
 	// target is that of the statement's route; shortestTarget is the shortest of the
@@ -101,7 +102,7 @@
 // and the time remaining until its timeout.
 func (s *session) connectionRequest(e *endpoint, r Route, arrived time.Time, remaining time.Duration) connectionRequest {
 	return connectionRequest{
-		organisation: s.organisation, database: s.caller.Database, priority: s.queuePriority(r, arrived), deadline: arrived.Add(r.TargetTime), maxWait: e.maxWait(arrived, remaining, r),
+		organisation: s.organisation, weight: s.proxy.config.Load().weights[s.organisation], database: s.caller.Database, priority: s.queuePriority(r, arrived), deadline: arrived.Add(r.TargetTime), maxWait: e.maxWait(arrived, remaining, r),
 		target: r.TargetTime, shortestTarget: r.shortestTarget,
 	}
 }
@@ -130,17 +131,11 @@
 		e.mu.Unlock()
 		return nil, core.NewError(core.CodeNoConnection, "endpoint %s is unreachable", e.info.Name).WithRetry(retryAfter)
 	}
-	if rand.Float64() < e.queue.ShedProbability(now.Sub(e.answeredAt), request.target, request.shortestTarget) {
-		retryAfter := e.queue.ServiceTime()
-		e.mu.Unlock()
-		return nil, core.NewError(core.CodeOverloaded, "%s is overloaded: statements take %v there", e.info.Name, retryAfter.Round(time.Millisecond)).WithRetry(retryAfter)
-	}
 	e.lastWaiterID++
-	w := queue.Waiter{ID: e.lastWaiterID, Organisation: request.organisation, Priority: request.priority, Deadline: request.deadline, MaxWait: request.maxWait}
-	if !e.queue.Add(now, w, e.mix.MaxInFlight) {
-		wait := e.queue.ExpectedWait(now, w, e.mix.MaxInFlight)
+	w := queue.Waiter{ID: e.lastWaiterID, Organisation: request.organisation, Weight: request.weight, Priority: request.priority, Deadline: request.deadline, MaxWait: request.maxWait}
+	if err := e.queueLocked(now, w, request); err != nil {
 		e.mu.Unlock()
-		return nil, core.NewError(core.CodeOverloaded, "the queue for %s is %v long", e.info.Name, wait.Round(time.Millisecond)).WithRetry(wait)
+		return nil, err
 	}
 	granted := make(chan grant, 1)
 	e.waiters[w.ID] = granted
@@ -155,6 +150,31 @@
 	return c, err
 }
 
+// queueLocked adds a statement to the queue, or returns why it is refused.
+func (e *endpoint) queueLocked(now time.Time, w queue.Waiter, request connectionRequest) error {
+	e.queue.Arrive(now, w)
+	if rand.Float64() < e.queue.ShedProbabilityOf(now, w, now.Sub(e.answeredAt), request.target, request.shortestTarget) {
+		retryAfter := e.queue.ServiceTime()
+		return e.refusalLocked(now, w, retryAfter, "%s is overloaded: statements take %v there", retryAfter)
+	}
+	free := 0
+	if w.Organisation != "" {
+		free = e.mix.Free(w.Organisation)
+	}
+	if !e.queue.AddBeside(now, w, e.mix.MaxInFlight, free) {
+		wait := e.queue.ExpectedWait(now, w, e.mix.MaxInFlight)
+		return e.refusalLocked(now, w, wait, "the queue for %s is %v long", wait)
+	}
+	return nil
+}
+
+// refusalLocked returns the error of a statement that is not queued, or no longer; its text
+// names the endpoint and a time.
+func (e *endpoint) refusalLocked(now time.Time, w queue.Waiter, retryAfter time.Duration, format string, d time.Duration) error {
+	code := e.queue.RefusalCode(now, w, e.mix.MaxInFlight)
+	return core.NewError(code, format, e.info.Name, d.Round(time.Millisecond)).WithRetry(retryAfter)
+}
+
 // awaitGrant waits for a connection, at most for the waiter's MaxWait.
 func (e *endpoint) awaitGrant(w queue.Waiter, granted chan grant) (*endpointConn, error) {
 	timer := time.NewTimer(w.MaxWait)
@@ -168,12 +188,13 @@
 	waited := e.queue.Remove(w.ID)
 	e.mix.StopWaiting(w.ID)
 	delete(e.waiters, w.ID)
+	err := e.refusalLocked(e.groupControl.control.proxy.now(), w, w.MaxWait, "no connection to %s came free in %v", w.MaxWait)
 	e.mu.Unlock()
 	if !waited {
 		g := <-granted
 		return g.conn, g.err
 	}
-	return nil, core.NewError(core.CodeOverloaded, "no connection to %s came free in %v", e.info.Name, w.MaxWait.Round(time.Millisecond)).WithRetry(w.MaxWait)
+	return nil, err
 }
 
 // isUnreachableLocked reports whether no connection can serve an organisation and none may
@@ -185,7 +206,7 @@
 // dispatchLocked grants connections to waiters and opens and closes connections for them,
 // as the mix decides.
 func (e *endpoint) dispatchLocked(now time.Time) {
-	for {
+	for !e.keepsPlacesLocked(now) {
 		switch step := e.mix.Next(now, !now.Before(e.reconnectAt), e.provesUptimeLocked); step.Kind {
 		case pool.StepRun:
 			if !e.grantNextLocked(now, step.IsUsable) {
@@ -193,27 +214,39 @@
 			}
 		case pool.StepOpen:
 			go e.connect(step.Organisation)
-		case pool.StepClose:
+		case pool.StepReplace:
 			e.groupControl.control.proxy.counts.connsReplaced.Inc(1)
 			e.closeConnLocked(e.takeIdleLocked(step.Connection))
+			go e.connect(step.Organisation)
 		case pool.StepNone:
 			return
 		}
 	}
 }
 
+// keepsPlacesLocked reports whether the places in flight that are left are kept for more
+// urgent statements than the next one.
+func (e *endpoint) keepsPlacesLocked(now time.Time) bool {
+	if !e.inFlightLimit.IsFull() {
+		return false
+	}
+	reserved := e.queue.Reserved(now, e.mix.MaxInFlight)
+	return reserved > 0 && e.mix.MaxInFlight-e.mix.InFlight <= reserved
+}
+
 // grantNextLocked grants a connection to the first waiter of a usable organisation and
-// reports whether there is one. If all its connections broke while idle, it waits on.
+// reports whether there is one. If all its connections broke while idle, it waits on in
+// its place.
 func (e *endpoint) grantNextLocked(now time.Time, usable func(core.Organisation) bool) bool {
-	w, ok := e.queue.Pop(now, usable)
+	w, ok := e.queue.First(now, usable)
 	if !ok {
 		return false
 	}
 	c := e.takeNewestLocked(w.Organisation)
 	if c == nil {
-		e.queue.Add(now, w, math.MaxInt)
 		return true
 	}
+	e.queue.Pop(now, func(o core.Organisation) bool { return o == w.Organisation })
 	e.mix.Run(now, w.Organisation)
 	c.grantedAt = now
 	e.resolveLocked(w, grant{conn: c})
@@ -263,16 +296,17 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.mix.Opened(o)
 	if err == nil {
+		e.mix.Opened(o)
 		e.noteResponseLocked(now)
 		e.addIdleLocked(now, newEndpointConn(e, c, o, now))
 		return
 	}
-	e.mix.Closed(o)
+	e.mix.OpeningFailed(o)
 	e.reconnectAt = now.Add(reconnectDelay)
 	e.recordFullLocked(now, err)
 	e.rejectWaitersLocked(func(waiting core.Organisation) bool { return !e.mix.CanServe(waiting) }, core.NewError(core.CodeNoConnection, "could not connect to %s", e.info.Name).WithRetry(e.reconnectAt.Sub(now)))
+	e.dispatchLocked(now)
 }
 
 // rejectHopelessLocked rejects the waiters that an overloaded queue will not serve in time.
@@ -283,7 +317,7 @@
 			return
 		}
 		wait := e.queue.DrainTime(e.mix.MaxInFlight)
-		e.resolveLocked(w, grant{err: core.NewError(core.CodeOverloaded, "%s is overloaded: the queue takes %v", e.info.Name, wait.Round(time.Millisecond)).WithRetry(wait)})
+		e.resolveLocked(w, grant{err: e.refusalLocked(now, w, wait, "%s is overloaded: the queue takes %v", wait)})
 	}
 }
 
@@ -309,6 +343,16 @@
 	e.mix.AddIdle(now, c.id, c.organisation)
 	e.dispatchLocked(now)
 	e.closeUnusedLocked(now)
+	if c.organisation != "" && e.sampling == 0 {
+		e.closeExcessLocked(now)
+	}
+}
+
+// closeExcessLocked closes idle connections beyond the instance's share.
+func (e *endpoint) closeExcessLocked(now time.Time) {
+	for id, ok := e.mix.LeastNeeded(now, e.provesUptimeLocked); ok; id, ok = e.mix.LeastNeeded(now, e.provesUptimeLocked) {
+		e.closeConnLocked(e.takeIdleLocked(id))
+	}
 }
 
 // release returns the connection to the pool, or closes it if it is not usable.
@@ -341,12 +385,12 @@
 	if c.grantedAt.IsZero() {
 		return
 	}
-	e.mix.InFlight--
+	e.mix.End()
 	took := now.Sub(c.grantedAt)
 	e.queue.ObserveServiceTime(took)
 	if c.succeeded {
 		e.inFlightLimit.Observe(c.database, took, e.queue.Len() > 0)
-		e.mix.MaxInFlight = e.inFlightLimit.Limit()
+		e.mix.SetMaxInFlight(e.inFlightLimit.Limit())
 	}
 	c.grantedAt, c.succeeded = time.Time{}, false
 }
@@ -360,7 +404,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c.grantedAt.IsZero() {
-		e.mix.InFlight++
+		e.mix.Begin()
 		c.grantedAt = now
 	}
 }
