--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -116,10 +116,11 @@
 		b.bucket = bucket{rate: rate, burst: burst, tokens: min(startSlack*slack, burst), at: l.roster.ownsSince()}
 		l.buckets[o] = b
 	}
-	b.configure(now, rate, burst)
 	if share < b.share {
+		b.refill(now)
 		b.tokens *= share / b.share
 	}
+	b.configure(now, rate, burst)
 	b.share = share
 	return b
 }
