Refuse rather than wait for an owner that is late while the others are empty

Cause: with a silent owner, operations above the limit waited up to 100 ms for it. Result: go test -race ./proxy ./platform ./core/quota . passes.

--- a/core/quota/roster.go
+++ b/core/quota/roster.go
@@ -305,8 +305,11 @@
 // MayGrant reports whether this instance may grant from the parts that it owns.
 func (r *Roster) MayGrant() bool { return !r.grantsSince.IsZero() }
 
-// Slots returns how many parts each limit has.
-func (r *Roster) Slots() int { return max(minSlots, len(r.centres)) }
+// Slots returns how many parts each limit has, as many in each data centre.
+func (r *Roster) Slots() int {
+	n := len(r.centres)
+	return (minSlots + n - 1) / n * n
+}
 
 // Share returns the fraction of an organisation's limit from which this instance may
 // grant now.
--- a/core/quota/stock.go
+++ b/core/quota/stock.go
@@ -104,8 +104,12 @@
 
 // IsIdle reports whether no operation waits and no answer is awaited.
 func (s *Stock) IsIdle() bool {
-	_, isPending := s.Pending(s.demandAt)
-	return s.waiting == 0 && !isPending
+	for _, o := range s.owners {
+		if o.pending {
+			return false
+		}
+	}
+	return s.waiting == 0
 }
 
 // Wait records that an operation waits for a token, or with -1 that it no longer does.
@@ -208,16 +212,13 @@
 }
 
 // Pending returns how long to wait for an answer before Next may have another request;
-// false if no owner has been asked that may still answer.
+// false if no owner was asked within HedgeDelay.
 func (s *Stock) Pending(now time.Time) (time.Duration, bool) {
 	wait, found := time.Duration(0), false
 	for _, o := range s.owners {
-		if !o.pending {
-			continue
-		}
-		found = true
-		if left := o.askedAt.Add(HedgeDelay).Sub(now); left > 0 && (wait == 0 || left < wait) {
-			wait = left
+		left := o.askedAt.Add(HedgeDelay).Sub(now)
+		if o.pending && left > 0 && (!found || left < wait) {
+			wait, found = left, true
 		}
 	}
 	return wait, found
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -214,12 +214,9 @@
 		if !isPending || !now.Before(deadline) {
 			return quota.Token{}, l.refuseLocked(now, s, limit)
 		}
-		if left := deadline.Sub(now); wait <= 0 || wait > left {
-			wait = left
-		}
 		changed := s.changed
 		l.mu.Unlock()
-		timer := time.NewTimer(wait)
+		timer := time.NewTimer(min(wait, deadline.Sub(now)))
 		select {
 		case <-changed:
 		case <-timer.C:
--- a/proxy/limits_owner.go
+++ b/proxy/limits_owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"anviltack/core"
@@ -103,18 +104,19 @@
 	}
 }
 
-// askOwner sends one message. An answer with another number of replies is none.
-func (l *limits) askOwner(peer Peer, q LimitQuestion) (LimitAnswer, error) {
+var errOwner = errors.New("proxy: an owner of limits gave no usable answer")
+
+// askOwner sends one message. An answer that does not fit, or that the program cannot
+// handle, is none.
+func (l *limits) askOwner(peer Peer, q LimitQuestion) (a LimitAnswer, err error) {
+	defer l.proxy.containPanic(func() { a, err = LimitAnswer{}, errOwner })
 	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
 	defer cancel()
-	a, err := l.proxy.dependencies.Limits.Ask(ctx, peer, q)
-	if err != nil {
-		return LimitAnswer{}, err
-	}
-	if len(a.Replies) != len(q.Requests) {
-		return LimitAnswer{}, core.NewError(core.CodeBadMessage, "%d replies to %d requests for tokens", len(a.Replies), len(q.Requests))
+	a, err = l.proxy.dependencies.Limits.Ask(ctx, peer, q)
+	if err == nil && len(a.Replies) != len(q.Requests) {
+		err = errOwner
 	}
-	return a, nil
+	return a, err
 }
 
 // applyLocked applies the replies to requests; without replies the requests have failed.
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -159,6 +159,29 @@
 	is.True(time.Since(started) < time.Second)
 }
 
+// TestMalformedAnswersOfOwners checks that an answer which does not fit, or ends in a panic,
+// counts as none and ends nothing.
+func TestMalformedAnswersOfOwners(t *testing.T) {
+	t.Parallel()
+	for _, ask := range []func(context.Context, Peer, LimitQuestion) (LimitAnswer, error){
+		func(context.Context, Peer, LimitQuestion) (LimitAnswer, error) { return LimitAnswer{}, nil },
+		func(context.Context, Peer, LimitQuestion) (LimitAnswer, error) { panic("answer") },
+		func(context.Context, Peer, LimitQuestion) (LimitAnswer, error) {
+			return LimitAnswer{Replies: make([]quota.Reply, 3)}, nil
+		},
+	} {
+		is := is.New(t)
+		f := newLimitFleet(t, OrganisationSettings{Rate: 8, Burst: 40})
+		f.advance(5 * time.Second)
+		f.proxies["i0"].dependencies.Limits.Ask = ask
+		ran := 0
+		for f.operate("i0", "o") == nil {
+			ran++
+		}
+		is.True(ran <= 10) // the instance may own one part itself
+	}
+}
+
 // TestExpiredTokenIsReplaced checks that an operation which waited longer than its token
 // lives takes another one, and that a statement which did not run keeps the token.
 func TestExpiredTokenIsReplaced(t *testing.T) {
