Take over the parts of missing instances sooner

Change: an instance that is missing in the list may grant for 6 s, and another takes over 12 s after it is missing, not 26 s. Ruled out: letting a missing instance grant for as long as others wait: an instance that restarts meanwhile has not seen it leave.

--- a/core/quota/faults_test.go
+++ b/core/quota/faults_test.go
@@ -172,6 +172,11 @@
 	faults := map[string]func(*simulation){
 		"the store is down":        func(s *simulation) { s.storeDown = true },
 		"a data centre is cut off": func(s *simulation) { s.cutCentre = "dc1" },
+		"the store turns away a third of the instances": func(s *simulation) {
+			for i, n := range s.all() {
+				n.storeCut = i%3 == 0
+			}
+		},
 		"both": func(s *simulation) {
 			s.storeDown = true
 			s.cutCentre = "dc1"
--- a/core/quota/roster.go
+++ b/core/quota/roster.go
@@ -18,13 +18,10 @@
 	// minSlots is how many parts a limit has at least, so that the loss of one owner
 	// leaves two thirds of it.
 	minSlots = 3
-	// retention is how long an instance that is no longer listed counts as an owner: it may
-	// only be unable to renew its entry.
-	retention = 20 * time.Second
-	// absenceGrace is how long an instance that is no longer listed itself grants on, as the
+	// maxAbsence is how long an instance may be missing in the list and still grant, as the
 	// entries of all may be missing for a moment when their store comes back; and how long
 	// it may be without a list and then go on.
-	absenceGrace = 5 * time.Second
+	maxAbsence = 6 * time.Second
 	// currencyMargin is how much longer than the usual silence of the list's source the
 	// list counts as current.
 	currencyMargin = time.Second
@@ -53,10 +50,10 @@
 	centres []core.DataCentre
 	// silence is the longest usual time between two signs of the list's source.
 	silence time.Duration
-	// others are the other instances that were listed within retention and takeoverDelay.
+	// others are the other instances that were listed within maxAbsence and takeoverDelay.
 	others map[core.Instance]*member
 	// listedSince is since when this instance has been listed, without an absence longer
-	// than retention; zero if it is not. goneAt is when it was first missing.
+	// than maxAbsence; zero if it is not. goneAt is when it was first missing.
 	listedSince time.Time
 	goneAt      time.Time
 	// resumed is true if an earlier process was listed under this instance's name when
@@ -257,13 +254,13 @@
 		if r.absent == 0 {
 			break
 		}
-		if !m.goneAt.IsZero() && now.Sub(m.goneAt) >= retention+r.takeoverDelay() {
+		if !m.goneAt.IsZero() && now.Sub(m.goneAt) >= maxAbsence+r.takeoverDelay() {
 			delete(r.others, name)
 			r.absent--
 			r.change(now)
 		}
 	}
-	if !r.goneAt.IsZero() && now.Sub(r.goneAt) >= retention {
+	if !r.goneAt.IsZero() && now.Sub(r.goneAt) >= maxAbsence {
 		r.listedSince, r.goneAt = time.Time{}, time.Time{}
 		r.resumed, r.isSettled = false, false
 		r.change(now)
@@ -272,7 +269,7 @@
 	if isInForce {
 		r.noteInForce(now)
 	}
-	if !isInForce || !r.isSettled || !r.goneAt.IsZero() && now.Sub(r.goneAt) >= absenceGrace {
+	if !isInForce || !r.isSettled {
 		r.grantsSince = time.Time{}
 	} else if r.grantsSince.IsZero() {
 		r.grantsSince = now
@@ -282,7 +279,7 @@
 // noteInForce records that this instance relies on its list, and settles it. After a time
 // without a list its entry may have been missing for that time, so it is as good as new.
 func (r *Roster) noteInForce(now time.Time) {
-	if !r.inForceAt.IsZero() && now.Sub(r.inForceAt) > absenceGrace {
+	if !r.inForceAt.IsZero() && now.Sub(r.inForceAt) > maxAbsence {
 		r.resumed, r.isSettled = false, false
 		if !r.listedSince.IsZero() {
 			r.listedSince = now
--- a/core/quota/roster_test.go
+++ b/core/quota/roster_test.go
@@ -44,14 +44,14 @@
 		is.True(owned[i.Name] > 60 && owned[i.Name] < 140) // 100 on average
 	}
 	r.Observe(now, listed[:31], true) // i31 of dc3 leaves
-	r.Tick(now.Add(retention + r.takeoverDelay()))
+	r.Tick(now.Add(maxAbsence + r.takeoverDelay()))
 	for o, owners := range before {
 		for slot, i := range r.Owners(o) {
 			is.True(i == owners[slot] || owners[slot] == "i31")
 		}
 	}
 	r.Observe(now, nil, true)
-	r.Tick(now.Add(2 * (retention + r.takeoverDelay())))
+	r.Tick(now.Add(2 * (maxAbsence + r.takeoverDelay())))
 	is.Equal(r.Owners("o1"), []core.Instance{"i0", "", "", ""})
 }
 
