Ask owners of limits while their entries are missing for a moment

Cause: an instance forgot the addresses of instances that its newest list lacks, so when the store came back without entries it could ask nobody for tokens. Change: addresses are kept as long as the instance may be an owner.

--- a/core/quota/roster.go
+++ b/core/quota/roster.go
@@ -221,6 +221,9 @@
 // isCurrent reports whether the list is current.
 func (r *Roster) isCurrent(now time.Time) bool { return now.Sub(r.heardAt) <= r.currentFor() }
 
+// Knows reports whether another instance may be an owner.
+func (r *Roster) Knows(i core.Instance) bool { return r.others[i] != nil }
+
 // Neighbours returns the other instances of the data centre, or all others if there are
 // none.
 func (r *Roster) Neighbours() []core.Instance {
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -34,7 +35,7 @@
 	isResumed bool
 	ledger    *quota.Ledger
 	stocks    map[core.Organisation]*limitStock
-	// peers are the other instances by name, as they were last listed.
+	// peers are the instances that the roster knows by name, as they were last listed.
 	peers map[core.Instance]Peer
 	links map[core.Instance]*ownerLink
 	// nextContact counts the instances contacted while the list's source is silent.
@@ -87,7 +88,6 @@
 	instances := make([]quota.Instance, 0, len(listed))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	clear(l.peers)
 	for _, p := range listed {
 		instances = append(instances, quota.Instance{Name: p.Name, DataCentre: p.DataCentre})
 		l.peers[p.Name] = p
@@ -128,6 +128,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refreshLocked()
+	maps.DeleteFunc(l.peers, func(i core.Instance, _ Peer) bool { return !l.roster.Knows(i) })
+	maps.DeleteFunc(l.links, func(i core.Instance, link *ownerLink) bool { return !l.roster.Knows(i) && !link.running })
 	if c == nil || c.Organisations == nil {
 		return
 	}
@@ -140,11 +142,6 @@
 			delete(l.stocks, o)
 		}
 	}
-	for i, link := range l.links {
-		if _, isListed := l.peers[i]; !isListed && !link.running {
-			delete(l.links, i)
-		}
-	}
 	if near := l.roster.Neighbours(); len(near) > 0 && l.roster.IsQuiet(now) {
 		l.nextContact++
 		l.contactLocked(near[l.nextContact%len(near)])
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -119,6 +119,23 @@
 	is.NoErr(f.operate("i0", "")) // without an organisation
 }
 
+// TestMissingOwnersAreAsked checks that owners are asked while their entries are missing for
+// a moment.
+func TestMissingOwnersAreAsked(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newLimitFleet(t, OrganisationSettings{Rate: 8, Burst: 40})
+	f.advance(5 * time.Second)
+	f.proxies["i0"].limits.observe(nil)
+	f.advance(time.Second)
+	for range 40 {
+		is.NoErr(f.operate("i0", "o"))
+	}
+	f.proxies["i0"].limits.observe(nil)
+	f.advance(time.Minute)
+	is.Equal(len(f.proxies["i0"].limits.peers), 0)
+}
+
 // TestLimitReports checks that refusals are counted, reported once a second, and in the dump
 // and the metrics.
 func TestLimitReports(t *testing.T) {
