--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -263,36 +263,3 @@
 }
 
 func (l *limits) selfName() core.Instance { return core.Instance(l.proxy.settings.Instance) }
-
-// defaultLimitRetry is when to retry if no owner of a limit answered.
-const defaultLimitRetry = 200 * time.Millisecond
-
-// refuseLocked counts and reports a refused operation and returns its error.
-func (l *limits) refuseLocked(now time.Time, s *limitStock, limit quota.Limit) error {
-	owners := l.roster.Order(s.organisation)
-	retry, isEmpty := s.RetryAfter(now, owners, func(i core.Instance) bool { return l.isUsableLocked(now, i) })
-	reason := "organisation %s has reached its limit of %g operations a second"
-	if !isEmpty {
-		retry = defaultLimitRetry
-		reason = "no instance that grants from the limit of organisation %s (%g operations a second) answered"
-	}
-	s.refused++
-	l.proxy.counts.limitsRefused.Inc(1)
-	l.reportLocked(now, s, limit, retry, isEmpty)
-	return core.NewError(core.CodeLimitReached, reason, s.organisation, limit.Rate).WithRetry(max(retry, time.Millisecond))
-}
-
-// limitReportInterval is the minimum time between two events about an organisation's limit.
-const limitReportInterval = time.Second
-
-// reportLocked logs that a limit was reached, at most once for each organisation and
-// limitReportInterval.
-func (l *limits) reportLocked(now time.Time, s *limitStock, limit quota.Limit, retry time.Duration, isEmpty bool) {
-	if !s.reportedAt.IsZero() && now.Sub(s.reportedAt) < limitReportInterval || !l.proxy.requestLogs.Allow() {
-		return
-	}
-	entry := l.proxy.event(core.EventLimit).WithField("organisation", s.organisation).WithField("refused", s.refused-s.reported)
-	entry = entry.WithField("rate", limit.Rate).WithField("burst", limit.Burst).WithField("retry_ms", retry.Milliseconds())
-	s.reportedAt, s.reported = now, s.refused
-	entry.WithField("owners_empty", isEmpty).WithField("grants", l.roster.MayGrant()).Warn("operations above the limit of an organisation refused")
-}
--- a/proxy/limits_owner.go
+++ b/proxy/limits_owner.go
@@ -138,7 +138,7 @@
 	link.failures++
 	d := min(maxOwnerAvoidance, minOwnerAvoidance<<min(link.failures-1, 10))
 	link.avoidedUntil = l.proxy.now().Add(d)
-	if link.failures == 1 {
+	if link.failures == 1 && l.proxy.requestLogs.Allow() {
 		l.proxy.event(core.EventLimitOwner).WithField("owner", to).WithError(err).Info("an instance that may own limits did not answer")
 	}
 }
