--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -34,7 +35,7 @@
 	isResumed bool
 	ledger    *quota.Ledger
 	stocks    map[core.Organisation]*limitStock
-	// peers are the other instances by name, as they were last listed.
+	// peers are the instances that the roster knows by name, as they were last listed.
 	peers map[core.Instance]Peer
 	links map[core.Instance]*ownerLink
 	// nextContact counts the instances contacted while the list's source is silent.
@@ -87,7 +88,6 @@
 	instances := make([]quota.Instance, 0, len(listed))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	clear(l.peers)
 	for _, p := range listed {
 		instances = append(instances, quota.Instance{Name: p.Name, DataCentre: p.DataCentre})
 		l.peers[p.Name] = p
@@ -128,6 +128,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refreshLocked()
+	maps.DeleteFunc(l.peers, func(i core.Instance, _ Peer) bool { return !l.roster.Knows(i) })
+	maps.DeleteFunc(l.links, func(i core.Instance, link *ownerLink) bool { return !l.roster.Knows(i) && !link.running })
 	if c == nil || c.Organisations == nil {
 		return
 	}
@@ -140,11 +142,6 @@
 			delete(l.stocks, o)
 		}
 	}
-	for i, link := range l.links {
-		if _, isListed := l.peers[i]; !isListed && !link.running {
-			delete(l.links, i)
-		}
-	}
 	if near := l.roster.Neighbours(); len(near) > 0 && l.roster.IsQuiet(now) {
 		l.nextContact++
 		l.contactLocked(near[l.nextContact%len(near)])
@@ -214,12 +211,9 @@
 		if !isPending || !now.Before(deadline) {
 			return quota.Token{}, l.refuseLocked(now, s, limit)
 		}
-		if left := deadline.Sub(now); wait <= 0 || wait > left {
-			wait = left
-		}
 		changed := s.changed
 		l.mu.Unlock()
-		timer := time.NewTimer(wait)
+		timer := time.NewTimer(min(wait, deadline.Sub(now)))
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -269,36 +263,3 @@
 }
 
 func (l *limits) selfName() core.Instance { return core.Instance(l.proxy.settings.Instance) }
-
-// defaultLimitRetry is when to retry if no owner of a limit answered.
-const defaultLimitRetry = 200 * time.Millisecond
-
-// refuseLocked counts and reports a refused operation and returns its error.
-func (l *limits) refuseLocked(now time.Time, s *limitStock, limit quota.Limit) error {
-	owners := l.roster.Order(s.organisation)
-	retry, isEmpty := s.RetryAfter(now, owners, func(i core.Instance) bool { return l.isUsableLocked(now, i) })
-	reason := "organisation %s has reached its limit of %g operations a second"
-	if !isEmpty {
-		retry = defaultLimitRetry
-		reason = "no instance that grants from the limit of organisation %s (%g operations a second) answered"
-	}
-	s.refused++
-	l.proxy.counts.limitsRefused.Inc(1)
-	l.reportLocked(now, s, limit, retry, isEmpty)
-	return core.NewError(core.CodeLimitReached, reason, s.organisation, limit.Rate).WithRetry(max(retry, time.Millisecond))
-}
-
-// limitReportInterval is the minimum time between two events about an organisation's limit.
-const limitReportInterval = time.Second
-
-// reportLocked logs that a limit was reached, at most once for each organisation and
-// limitReportInterval.
-func (l *limits) reportLocked(now time.Time, s *limitStock, limit quota.Limit, retry time.Duration, isEmpty bool) {
-	if !s.reportedAt.IsZero() && now.Sub(s.reportedAt) < limitReportInterval || !l.proxy.requestLogs.Allow() {
-		return
-	}
-	entry := l.proxy.event(core.EventLimit).WithField("organisation", s.organisation).WithField("refused", s.refused-s.reported)
-	entry = entry.WithField("rate", limit.Rate).WithField("burst", limit.Burst).WithField("retry_ms", retry.Milliseconds())
-	s.reportedAt, s.reported = now, s.refused
-	entry.WithField("owners_empty", isEmpty).WithField("grants", l.roster.MayGrant()).Warn("operations above the limit of an organisation refused")
-}
