Divide the limits of large organisations into more parts

Change: a limit whose parts hold ten tokens or more has up to four times as many of them; after a change of the number an owner grants from the lesser share for a while. Ruled out: as many parts of every limit: small organisations were refused below theirs. Result: TestLostOwnersOfLargeLimit fails before.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -50,6 +50,14 @@
 	// slack is how many operations more than its limit an organisation may run.
 	slack   float64
 	buckets map[core.Organisation]*ownedBucket
+	slots   map[core.Organisation]*slotCount
+}
+
+// slotCount is in how many parts an organisation's limit is divided, and was before the
+// limit last changed; changedAt is zero if it never did.
+type slotCount struct {
+	slots, before int
+	changedAt     time.Time
 }
 
 // ownedBucket is a bucket with the last grant to each instance.
@@ -68,7 +76,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger(r *Roster, slack float64) *Ledger {
-	return &Ledger{roster: r, slack: slack, buckets: make(map[core.Organisation]*ownedBucket)}
+	return &Ledger{roster: r, slack: slack, buckets: make(map[core.Organisation]*ownedBucket), slots: make(map[core.Organisation]*slotCount)}
 }
 
 // Grant answers a request of an instance, which may be this one.
@@ -97,11 +105,13 @@
 // any part of its limit. A part starts empty, but for the spare tokens of the first one: an
 // earlier owner may have granted what it had.
 func (l *Ledger) bucket(now time.Time, o core.Organisation, limit Limit) *ownedBucket {
-	share, b := l.roster.Share(o), l.buckets[o]
+	b := l.buckets[o]
 	if limit.Rate <= 0 {
 		delete(l.buckets, o)
+		delete(l.slots, o)
 		return nil
 	}
+	share := l.share(now, o, limit)
 	if share == 0 {
 		if b != nil {
 			b.configure(now, 0, 0)
@@ -125,11 +135,31 @@
 	return b
 }
 
+// share returns the fraction of a limit from which this instance may grant. After a change of
+// the number of parts it is the lesser one for as long as other instances may have the
+// configuration from before.
+func (l *Ledger) share(now time.Time, o core.Organisation, limit Limit) float64 {
+	n := l.roster.Slots(limit)
+	c := l.slots[o]
+	if c == nil {
+		c = &slotCount{slots: n}
+		l.slots[o] = c
+	}
+	if c.slots != n {
+		c.before, c.slots, c.changedAt = c.slots, n, now
+	}
+	share := l.roster.Share(o, n)
+	if !c.changedAt.IsZero() && now.Sub(c.changedAt) < l.roster.takeoverDelay() {
+		share = min(share, l.roster.Share(o, c.before))
+	}
+	return share
+}
+
 // Tick forgets what is no longer needed; limits returns those in force.
 func (l *Ledger) Tick(now time.Time, limits func(core.Organisation) Limit) {
 	l.roster.Tick(now)
 	for o, b := range l.buckets {
-		if l.bucket(now, o, limits(o)) == nil && !l.roster.isOwner(o) {
+		if l.bucket(now, o, limits(o)) == nil && !l.roster.isOwner(o, l.roster.Slots(limits(o))) {
 			delete(l.buckets, o)
 		}
 		maps.DeleteFunc(b.grants, func(_ core.Instance, g lastGrant) bool { return now.Sub(g.at) > grantMemory })
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -60,7 +61,7 @@
 				s.play(settle)
 				var gone core.Instance
 				if dead {
-					gone = s.nodes["i0"].roster.Owners("o")[0]
+					gone = s.nodes["i0"].roster.Owners("o", s.nodes["i0"].roster.Slots(s.limits["o"]))[0]
 					s.nodes[gone].dead = true
 					s.play(5 * time.Second)
 				}
@@ -73,3 +74,50 @@
 		}
 	}
 }
+
+// TestLostOwnersOfLargeLimit checks that an organisation which asks for far more than its
+// limit keeps at least its usual load, 62% of the limit, while a third of the instances are
+// cut off: none of its callers' operations may hang on one owner.
+func TestLostOwnersOfLargeLimit(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		is := is.New(t)
+		s := newSimulation(seed, 3, 33)
+		s.limits["o"] = Limit{Rate: 600, Burst: 600}
+		s.play(settle)
+		for n := range 33 {
+			if n%9 < 3 { // four of eleven in each data centre, or three
+				s.nodes[core.Instance(fmt.Sprint("i", n))].dead = true
+			}
+		}
+		const period = 10 * time.Second
+		s.load("o", 1800, period, func(n *simNode) bool { return !n.dead })
+		s.play(period)
+		is.True(float64(s.served["o"]) >= 0.62*600*period.Seconds())
+		is.True(s.worst("o") <= 0)
+	}
+}
+
+// TestNumberOfPartsChanges checks that an owner grants from the lesser of both shares while
+// other instances may divide a limit as before it changed.
+func TestNumberOfPartsChanges(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 3, 33)
+	s.play(settle)
+	small, large := Limit{Rate: 30, Burst: 30}, Limit{Rate: 600, Burst: 600}
+	roster := s.nodes["i0"].roster
+	is.Equal(roster.Slots(small), 3)
+	is.Equal(roster.Slots(large), 12)
+	shares := func(limit Limit) float64 {
+		total := 0.0
+		for _, n := range s.nodes {
+			total += n.ledger.share(s.now, "o", limit)
+		}
+		return total
+	}
+	is.True(math.Abs(shares(small)-1) < 0.001)
+	is.True(shares(large) < 0.26) // the owners of one part in three have one in twelve
+	s.play(roster.takeoverDelay())
+	is.True(math.Abs(shares(large)-1) < 0.001)
+	is.True(shares(small) < 0.26)
+}
--- a/core/quota/roster.go
+++ b/core/quota/roster.go
@@ -18,6 +18,11 @@
 	// minSlots is how many parts a limit has at least, so that the loss of one owner
 	// leaves two thirds of it.
 	minSlots = 3
+	// minPartTokens is how many tokens a part of a larger limit has in a second and in its
+	// burst at least; in smaller parts, tokens lie where few ask for them.
+	minPartTokens = 10
+	// maxMultiple is how many times as many parts as minSlots a large limit has at most.
+	maxMultiple = 4
 	// maxAbsence is how long an instance may be missing in the list and still grant, as the
 	// entries of all may be missing for a moment when their store comes back; and how long
 	// it may be without a list and then go on.
@@ -77,8 +82,14 @@
 	grantsSince time.Time
 	changedAt   time.Time
 	// owners and orders cache what Owners and Order return until the instances change.
-	owners map[core.Organisation][]core.Instance
-	orders map[core.Organisation][]Owner
+	owners map[division][]core.Instance
+	orders map[division][]Owner
+}
+
+// division is an organisation's limit in a number of parts.
+type division struct {
+	organisation core.Organisation
+	slots        int
 }
 
 // member is another instance; goneAt is zero while it is listed.
@@ -99,8 +110,8 @@
 
 // forget drops what was computed from the instances.
 func (r *Roster) forget() {
-	r.owners = make(map[core.Organisation][]core.Instance)
-	r.orders = make(map[core.Organisation][]Owner)
+	r.owners = make(map[division][]core.Instance)
+	r.orders = make(map[division][]Owner)
 }
 
 // currentFor is how long after a sign of its source the list is current.
@@ -305,31 +316,34 @@
 // MayGrant reports whether this instance may grant from the parts that it owns.
 func (r *Roster) MayGrant() bool { return !r.grantsSince.IsZero() }
 
-// Slots returns how many parts each limit has, as many in each data centre.
-func (r *Roster) Slots() int {
+// Slots returns how many parts a limit has, as many in each data centre: more of a large
+// one, so that the loss of an owner costs little of it.
+func (r *Roster) Slots(limit Limit) int {
 	n := len(r.centres)
-	return (minSlots + n - 1) / n * n
+	least := (minSlots + n - 1) / n * n
+	tokens := min(limit.Rate, limit.Burst, maxWant)
+	return least * max(1, min(maxMultiple, int(tokens/(minPartTokens*float64(least)))))
 }
 
 // Share returns the fraction of an organisation's limit from which this instance may
 // grant now.
-func (r *Roster) Share(o core.Organisation) float64 {
+func (r *Roster) Share(o core.Organisation, slots int) float64 {
 	if r.grantsSince.IsZero() {
 		return 0
 	}
 	held := 0
-	for _, i := range r.Owners(o) {
+	for _, i := range r.Owners(o, slots) {
 		if i == r.self.Name {
 			held++
 		}
 	}
-	return float64(held) / float64(r.Slots())
+	return float64(held) / float64(slots)
 }
 
 // Owners returns the owner of each part of an organisation's limit, by rendezvous hashing
 // among the instances of the part's data centre; empty where there are none.
-func (r *Roster) Owners(o core.Organisation) []core.Instance {
-	if owners, ok := r.owners[o]; ok {
+func (r *Roster) Owners(o core.Organisation, slots int) []core.Instance {
+	if owners, ok := r.owners[division{o, slots}]; ok {
 		return owners
 	}
 	ranked := make(map[core.DataCentre][]core.Instance)
@@ -344,20 +358,22 @@
 			return cmp.Or(cmp.Compare(weight(o, a), weight(o, b)), cmp.Compare(a, b))
 		})
 	}
-	owners := make([]core.Instance, r.Slots())
+	owners := make([]core.Instance, slots)
 	for slot := range owners {
 		names := ranked[r.centres[slot%len(r.centres)]]
 		if len(names) > 0 {
 			owners[slot] = names[slot/len(r.centres)%len(names)]
 		}
 	}
-	r.owners[o] = owners
+	r.owners[division{o, slots}] = owners
 	return owners
 }
 
 // isOwner reports whether this instance owns a part of an organisation's limit, which it
 // may still have to wait to grant from.
-func (r *Roster) isOwner(o core.Organisation) bool { return slices.Contains(r.Owners(o), r.self.Name) }
+func (r *Roster) isOwner(o core.Organisation, slots int) bool {
+	return slices.Contains(r.Owners(o, slots), r.self.Name)
+}
 
 // Owner is an instance that owns a part of a limit, as another one sees it.
 type Owner struct {
@@ -369,11 +385,11 @@
 // Order returns the owners of an organisation's limit in the order in which this instance
 // asks them: itself, those of its data centre, and then the others, which different
 // instances ask in different orders.
-func (r *Roster) Order(o core.Organisation) []Owner {
-	if order, ok := r.orders[o]; ok {
+func (r *Roster) Order(o core.Organisation, slots int) []Owner {
+	if order, ok := r.orders[division{o, slots}]; ok {
 		return order
 	}
-	owners := slices.DeleteFunc(slices.Clone(r.Owners(o)), func(i core.Instance) bool { return i == "" })
+	owners := slices.DeleteFunc(slices.Clone(r.Owners(o, slots)), func(i core.Instance) bool { return i == "" })
 	distance := func(i core.Instance) int {
 		switch m := r.others[i]; {
 		case i == r.self.Name:
@@ -392,7 +408,7 @@
 	for _, i := range slices.Compact(owners) {
 		order = append(order, Owner{Name: i, IsNear: distance(i) < 2})
 	}
-	r.orders[o] = order
+	r.orders[division{o, slots}] = order
 	return order
 }
 
--- a/core/quota/roster_test.go
+++ b/core/quota/roster_test.go
@@ -32,13 +32,13 @@
 	owned := make(map[core.Instance]int)
 	for n := range organisations {
 		o := core.Organisation(fmt.Sprint("o", n))
-		before[o] = r.Owners(o)
+		before[o] = r.Owners(o, 4)
 		is.Equal(len(before[o]), 4)
 		for slot, i := range before[o] {
 			owned[i]++
 			is.True(i == listed[0].Name || r.others[i].centre == centres[slot])
 		}
-		is.True(r.Order(o)[0].IsNear)
+		is.True(r.Order(o, 4)[0].IsNear)
 	}
 	for _, i := range listed {
 		is.True(owned[i.Name] > 60 && owned[i.Name] < 140) // 100 on average
@@ -46,13 +46,13 @@
 	r.Observe(now, listed[:31], true) // i31 of dc3 leaves
 	r.Tick(now.Add(maxAbsence + r.takeoverDelay()))
 	for o, owners := range before {
-		for slot, i := range r.Owners(o) {
+		for slot, i := range r.Owners(o, 4) {
 			is.True(i == owners[slot] || owners[slot] == "i31")
 		}
 	}
 	r.Observe(now, nil, true)
 	r.Tick(now.Add(2 * (maxAbsence + r.takeoverDelay())))
-	is.Equal(r.Owners("o1"), []core.Instance{"i0", "", "", ""})
+	is.Equal(r.Owners("o1", 4), []core.Instance{"i0", "", "", ""})
 }
 
 // TestSmallSites checks that all parts of a limit have owners where there are fewer data
@@ -65,7 +65,7 @@
 		s.play(settle)
 		share := 0.0
 		for _, i := range s.nodes {
-			share += i.roster.Share("o")
+			share += i.roster.Share("o", i.roster.Slots(s.limits["o"]))
 		}
 		is.Equal(share, 1.0)
 	}
--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -319,7 +319,7 @@
 // ask asks the next owner, and reports whether there was one.
 func (s *simulation) ask(n *simNode, o core.Organisation) bool {
 	st, limit := s.stock(n, o), s.limits[o]
-	a, ok := st.Next(s.now, n.roster.Order(o), func(i core.Instance) bool { return !s.now.Before(n.avoid[i]) }, limit)
+	a, ok := st.Next(s.now, n.roster.Order(o, n.roster.Slots(limit)), func(i core.Instance) bool { return !s.now.Before(n.avoid[i]) }, limit)
 	if !ok {
 		return false
 	}
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -248,7 +248,7 @@
 // have tokens.
 func (l *limits) askLocked(now time.Time, s *limitStock, limit quota.Limit) bool {
 	isUsable := func(i core.Instance) bool { return l.isUsableLocked(now, i) }
-	a, ok := s.Next(now, l.roster.Order(s.organisation), isUsable, limit)
+	a, ok := s.Next(now, l.roster.Order(s.organisation, l.roster.Slots(limit)), isUsable, limit)
 	if !ok {
 		return false
 	}
--- a/proxy/limits_report.go
+++ b/proxy/limits_report.go
@@ -16,7 +16,7 @@
 
 // refuseLocked counts and reports a refused operation and returns its error.
 func (l *limits) refuseLocked(now time.Time, s *limitStock, limit quota.Limit) error {
-	owners := l.roster.Order(s.organisation)
+	owners := l.roster.Order(s.organisation, l.roster.Slots(limit))
 	retry, isEmpty := s.RetryAfter(now, owners, func(i core.Instance) bool { return l.isUsableLocked(now, i) })
 	reason := "organisation %s has reached its limit of %g operations a second"
 	if !isEmpty {
@@ -74,8 +74,10 @@
 	defer l.mu.Unlock()
 	d := limitsDump{MayGrant: l.roster.MayGrant(), Owned: l.ledger.Owned(now)}
 	for o, s := range l.stocks {
+		limit, _ := l.proxy.limitOf(o)
 		d.Held = append(d.Held, heldDump{
-			Organisation: o, Tokens: s.Held(now), Demand: s.Demand(now), Granted: s.granted, Refused: s.refused, Owners: l.roster.Order(o),
+			Organisation: o, Tokens: s.Held(now), Demand: s.Demand(now), Granted: s.granted, Refused: s.refused,
+			Owners: l.roster.Order(o, l.roster.Slots(limit)),
 		})
 	}
 	return d
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -162,7 +162,7 @@
 	is := is.New(t)
 	f := newLimitFleet(t, OrganisationSettings{Rate: 8, Burst: 40})
 	f.advance(5 * time.Second)
-	owners := f.proxies["i0"].limits.roster.Order("o")
+	owners := f.proxies["i0"].limits.roster.Order("o", f.proxies["i0"].limits.roster.Slots(quota.Limit{Rate: 8, Burst: 40}))
 	f.silent[owners[0].Name], f.silent[owners[1].Name] = true, true
 	from := core.Instance("i0")
 	for from == owners[0].Name || from == owners[1].Name {
