Place homes and watchers by the strength of instances

Cause: fleets are uneven (6 of 0.8 core and 200 Mbit/s beside 85 of 0.192 and 10), and homes and watchers of the store were assigned without regard to that: 92% of the statements were served at weak instances.

Change: settings give processor and link, the instance's entry announces them (cores, link; omitted if unknown), and core/home weights its rendezvous hashing by the square of the strength, with the bound on the share by weight. Equal or unknown strengths give exactly the earlier assignment.

Ruled out: weights in proportion (a home is not divisible; the weak stay the busiest), only the strong (one instance would hold a sixth of all callers), and a weight of 1 for unknown ones among known ones (two versions would disagree).

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,10 +23,10 @@
 	// minHomes is how many home instances a group has at least, so that the loss of any
 	// two leaves one.
 	minHomes = 3
-	// shareSlack is how many times an equal share of the groups an instance may have; less
-	// would move more homes with each change of the instances.
+	// shareSlack is how many times its share of the groups an instance may have; less would
+	// move more homes with each change of the instances.
 	shareSlack = 1.5
-	// minShare is how many groups every instance may have.
+	// minShare is how many groups an instance of mean weight may have in any case.
 	minShare = 2
 )
 
@@ -35,6 +34,7 @@
 type Instance struct {
 	Name       core.Instance
 	DataCentre core.DataCentre
+	Strength   Strength
 }
 
 // Limits are what the endpoints of a group accept.
@@ -64,9 +64,10 @@
 }
 
 // Assign returns the home instances of each group in order of preference. They alternate
-// between the data centres, so that each has one if there are enough. No instance is home
-// of more than shareSlack times its share of the groups as long as others of its data
-// centre are below that, and few homes change when an instance joins or leaves.
+// between the data centres, so that each has one if there are enough. Within a data centre
+// the chance to be home, and the share of the groups, are in proportion to an instance's
+// weight: no instance is home of more than shareSlack times its share as long as others of
+// its data centre are below that. Few homes change when an instance joins or leaves.
 func Assign(groups map[core.Group]Limits, live []Instance) map[core.Group][]core.Instance {
 	dataCentres := make(map[core.DataCentre]bool)
 	for _, i := range live {
@@ -76,11 +77,13 @@
 	for _, l := range groups {
 		total += Count(l, len(dataCentres), len(live))
 	}
-	share := max(minShare, int(math.Ceil(shareSlack*float64(total)/float64(max(1, len(live))))))
+	meanShare := max(minShare, shareSlack*float64(total)/float64(max(1, len(live))))
+	weights := weights(live, homeMbps)
 	homes := make(map[core.Group][]core.Instance, len(groups))
 	assigned := make(map[core.Instance]int, len(live))
 	for _, g := range slices.Sorted(maps.Keys(groups)) {
-		homes[g] = choose(g, live, Count(groups[g], len(dataCentres), len(live)), func(i core.Instance) bool { return assigned[i] >= share })
+		isFull := func(i core.Instance) bool { return float64(assigned[i]) >= meanShare*weights[i] }
+		homes[g] = choose(g, live, Count(groups[g], len(dataCentres), len(live)), weights, isFull)
 		for _, i := range homes[g] {
 			assigned[i]++
 		}
@@ -90,10 +93,10 @@
 
 // choose returns n home instances of a group, those that are full last in their data
 // centre.
-func choose(g core.Group, live []Instance, n int, isFull func(core.Instance) bool) []core.Instance {
+func choose(g core.Group, live []Instance, n int, weights map[core.Instance]float64, isFull func(core.Instance) bool) []core.Instance {
 	ranked := make([]rankedInstance, 0, len(live))
 	for _, i := range live {
-		ranked = append(ranked, rankedInstance{Instance: i, full: isFull(i.Name), weight: weight(g, i.Name)})
+		ranked = append(ranked, rankedInstance{Instance: i, full: isFull(i.Name), draw: draw{instance: i.Name, hash: groupHash(g, i.Name), weight: weights[i.Name]}})
 	}
 	slices.SortFunc(ranked, func(a, b rankedInstance) int {
 		if a.full != b.full {
@@ -102,7 +105,7 @@
 			}
 			return -1
 		}
-		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.Name, b.Name))
+		return a.draw.compare(b.draw)
 	})
 	instancesIn := make(map[core.DataCentre]int)
 	for k := range ranked {
@@ -121,8 +124,8 @@
 // rankedInstance is an instance in the order of preference for a group.
 type rankedInstance struct {
 	Instance
-	full   bool
-	weight uint64
+	full bool
+	draw draw
 	// rankInDataCentre counts the instances of the same data centre that come before.
 	rankInDataCentre int
 }
@@ -134,11 +137,11 @@
 		return ""
 	}
 	return slices.MinFunc(groups, func(a, b core.Group) int {
-		return cmp.Or(cmp.Compare(weight(a, i), weight(b, i)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(groupHash(a, i), groupHash(b, i)), cmp.Compare(a, b))
 	})
 }
 
-// weight is an instance's rendezvous hash for a group; lower weights come first.
-func weight(g core.Group, i core.Instance) uint64 {
+// groupHash is an instance's rendezvous hash for a group.
+func groupHash(g core.Group, i core.Instance) uint64 {
 	return xxhash.Sum64String(string(g) + "\x00" + string(i))
 }
--- a/core/home/watcher.go
+++ b/core/home/watcher.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,15 +17,19 @@
 )
 
 // Watchers returns the instances of one data centre that follow the store by themselves;
-// the others follow it through them.
+// the others follow it through them. Strong instances are preferred, since
+// a watcher sends everything to each of its followers over its own link.
 func Watchers(centre []Instance) []core.Instance {
-	names := make([]core.Instance, 0, len(centre))
+	weights := weights(centre, watcherMbps)
+	draws := make([]draw, 0, len(centre))
 	for _, i := range centre {
-		names = append(names, i.Name)
+		draws = append(draws, draw{instance: i.Name, hash: xxhash.Sum64String(string(i.Name)), weight: weights[i.Name]})
 	}
-	slices.SortFunc(names, func(a, b core.Instance) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
-	})
-	n := max(minWatchers, (len(names)+followersPerWatcher)/(followersPerWatcher+1))
-	return names[:min(n, len(names))]
+	slices.SortFunc(draws, draw.compare)
+	n := max(minWatchers, (len(draws)+followersPerWatcher)/(followersPerWatcher+1))
+	watchers := make([]core.Instance, 0, n)
+	for _, d := range draws[:min(n, len(draws))] {
+		watchers = append(watchers, d.instance)
+	}
+	return watchers
 }
--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/home"
 )
 
 // Callers implements the protocol between callers and the instance.
@@ -142,6 +143,7 @@
 	// SessionAddress is where the instance accepts relayed sessions; invalid if it
 	// accepts none.
 	SessionAddress netip.AddrPort
+	Strength       home.Strength
 }
 
 // Membership announces this instance and lists the live instances.
--- a/proxy/home_instances.go
+++ b/proxy/home_instances.go
@@ -15,6 +15,10 @@
 	listedAt time.Time
 }
 
+func (p Peer) homeInstance() home.Instance {
+	return home.Instance{Name: p.Name, DataCentre: p.DataCentre, Strength: p.Strength}
+}
+
 // shareRetention is how long an instance that is no longer listed keeps its share of the
 // endpoints' connections: it may still run and only be unable to reach the list.
 const shareRetention = 20 * time.Second
@@ -79,12 +83,12 @@
 	for _, p := range c.livePeers {
 		peers[p.Name] = p
 		if p.SessionAddress.IsValid() {
-			instances = append(instances, home.Instance{Name: p.Name, DataCentre: p.DataCentre})
+			instances = append(instances, p.homeInstance())
 		}
 	}
 	if len(instances) == 0 {
 		for _, p := range c.livePeers {
-			instances = append(instances, home.Instance{Name: p.Name, DataCentre: p.DataCentre})
+			instances = append(instances, p.homeInstance())
 		}
 	}
 	slots := c.slots()
