Relay new sessions past slow home instances; report homes

Cause: a session was relayed to a home instance of its data centre at random, also while that one was slow; assignments left no line in the log.

Change: core/home keeps a moving average of the time that each home instance takes to open a session and orders them by it, with one session tried after a hold; proxy/relay.go measures. Event 507, metrics homes_moved and homes_slow, Homes in the dump.

--- a/core/event.go
+++ b/core/event.go
@@ -28,4 +28,5 @@
 	EventIsolated      Event = 504
 	EventRelay         Event = 505
 	EventRestored      Event = 506
+	EventHomes         Event = 507
 )
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -91,6 +91,19 @@
 	return homes
 }
 
+// Moved returns how many homes of groups are at instances that were not home of them before.
+func Moved(before, after map[core.Group][]core.Instance) int {
+	moved := 0
+	for g, homes := range after {
+		for _, i := range homes {
+			if !slices.Contains(before[g], i) {
+				moved++
+			}
+		}
+	}
+	return moved
+}
+
 // choose returns n home instances of a group, those that are full last in their data
 // centre.
 func choose(g core.Group, live []Instance, n int, weights map[core.Instance]float64, isFull func(core.Instance) bool) []core.Instance {
--- a/proxy/control.go
+++ b/proxy/control.go
@@ -29,6 +29,8 @@
 	// homes are the home instances of each group, computed from livePeers and the
 	// configuration.
 	homes map[core.Group][]core.Instance
+	// reportedHomes are the homes that the last line of core.EventHomes is about.
+	reportedHomes map[core.Group][]core.Instance
 	// homePeers are the other home instances of each group that accept relayed sessions.
 	// A new map replaces it whenever homes are assigned.
 	homePeers map[core.Group][]Peer
--- a/proxy/home_instances.go
+++ b/proxy/home_instances.go
@@ -106,6 +106,24 @@
 		}
 	}
 	c.monitored = c.chooseMonitored()
+	c.reportHomes(len(instances))
+}
+
+// reportHomes counts and logs the homes that moved with an assignment.
+func (c *control) reportHomes(instances int) {
+	moved := home.Moved(c.reportedHomes, c.homes)
+	c.reportedHomes = c.homes
+	if moved == 0 {
+		return
+	}
+	own := 0
+	for _, homes := range c.homes {
+		if slices.Contains(homes, c.self()) {
+			own++
+		}
+	}
+	c.proxy.counts.homesMoved.Inc(int64(moved))
+	c.proxy.event(core.EventHomes).WithField("groups", len(c.homes)).WithField("instances", instances).WithField("moved", moved).WithField("own", own).Info("home instances assigned")
 }
 
 // chooseMonitored returns the group that this instance connects to although it is home of
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -29,6 +29,8 @@
 	sessionPanics   metrics.Counter
 	keysDenied      metrics.Counter
 	storeRestores   metrics.Counter
+	homesMoved      metrics.Counter
+	homesSlow       metrics.Counter
 	readTime        metrics.Histogram
 	writeTime       metrics.Histogram
 	confirmTime     metrics.Histogram
@@ -52,6 +54,8 @@
 		sessionPanics:   metrics.GetOrRegisterCounter("session_panics", r),
 		keysDenied:      metrics.GetOrRegisterCounter("sessions_denied", r),
 		storeRestores:   metrics.GetOrRegisterCounter("store_restores", r),
+		homesMoved:      metrics.GetOrRegisterCounter("homes_moved", r),
+		homesSlow:       metrics.GetOrRegisterCounter("homes_slow", r),
 		readTime:        histogram("read_ns"),
 		writeTime:       histogram("write_ns"),
 		confirmTime:     histogram("confirm_ns"),
@@ -151,6 +155,28 @@
 	Limit    int
 }
 
+// homeDump is another home instance of a group in the dump.
+type homeDump struct {
+	Instance core.Instance
+	Cores    float64
+	LinkMbps float64
+	// ResponseMs is how long it took to open sessions lately, or zero.
+	ResponseMs int64
+	Slow       bool
+}
+
+// dumpHomes returns the other home instances of the groups.
+func (p *Proxy) dumpHomes() map[core.Group][]homeDump {
+	dump := make(map[core.Group][]homeDump)
+	for g, homes := range p.placement.Load().homes {
+		for _, h := range homes {
+			took, slow := p.homeResponses.recent(p.now(), h.Name)
+			dump[g] = append(dump[g], homeDump{Instance: h.Name, Cores: h.Strength.Cores, LinkMbps: h.Strength.LinkMbps, ResponseMs: took.Milliseconds(), Slow: slow})
+		}
+	}
+	return dump
+}
+
 // writeDump writes the state of the instance.
 func (p *Proxy) writeDump(w http.ResponseWriter, _ *http.Request) {
 	var groups []groupDump
@@ -173,7 +199,9 @@
 		StoreEra uint64
 		Sessions int
 		Groups   []groupDump
-	}{Instance: p.settings.Instance, Ready: p.IsReady(), Sessions: p.sessionCount(), Groups: groups}
+		// Homes are the other home instances of each group.
+		Homes map[core.Group][]homeDump
+	}{Instance: p.settings.Instance, Ready: p.IsReady(), Sessions: p.sessionCount(), Groups: groups, Homes: p.dumpHomes()}
 	body.StoreEra, _ = p.dependencies.LeaseStore.Era()
 	if c := p.config.Load(); c != nil {
 		body.Version = c.Version
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -69,6 +69,7 @@
 	// avoidedHomes are the home instances that recently did not accept a session.
 	minimumVersion minimumVersion
 	avoidedHomes   avoidedInstances
+	homeResponses  homeResponses
 	// endpointCount is the number of endpoints that this instance connects to.
 	endpointCount atomic.Int64
 	control       *control
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -10,6 +10,7 @@
 
 	"anviltack/core"
 	failover "anviltack/core/group"
+	"anviltack/core/home"
 )
 
 const (
@@ -36,7 +37,9 @@
 		return false
 	}
 	for _, peer := range p.relayCandidates(r.Group) {
+		startedAt := p.now()
 		relay, err := p.openRelay(caller, peer, r.Timeout)
+		p.observeHome(peer, startedAt, err)
 		if err != nil {
 			p.avoidHome(groupsNotServed(r.Group, err), peer.Name)
 			p.event(core.EventRelay).WithField("group", r.Group).WithField("home", peer.Name).WithError(err).Warn("home instance of the group did not accept the session")
@@ -93,26 +96,71 @@
 }
 
 // relayCandidates returns the home instances to try for a group: those of the local
-// data centre first, each set in random order.
+// data centre first, each set in random order, but for those that respond slowly.
 func (p *Proxy) relayCandidates(g core.Group) []Peer {
-	var near, far []Peer
+	homes := p.placement.Load().homes[g]
+	peers := make(map[core.Instance]Peer, len(homes))
+	var near, far []core.Instance
 	now := p.now()
-	for _, h := range p.placement.Load().homes[g] {
+	for _, k := range rand.Perm(len(homes)) {
+		h := homes[k]
+		peers[h.Name] = h
 		switch {
 		case p.avoidedHomes.has(g, h.Name, now):
-		case string(h.DataCentre) == p.settings.DataCentre:
-			near = append(near, h)
+		case p.isNear(h):
+			near = append(near, h.Name)
 		default:
-			far = append(far, h)
+			far = append(far, h.Name)
 		}
 	}
-	for _, list := range [][]Peer{near, far} {
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	var list []Peer
+	for _, i := range p.homeResponses.order(now, near, far) {
+		list = append(list, peers[i])
 	}
-	list := append(near, far...)
 	return list[:min(maxRelayAttempts, len(list))]
 }
 
+func (p *Proxy) isNear(to Peer) bool { return string(to.DataCentre) == p.settings.DataCentre }
+
+// observeHome records how long a home instance took to accept a session. A refusal says
+// nothing about that.
+func (p *Proxy) observeHome(to Peer, startedAt time.Time, err error) {
+	if err != nil && failureOf(err) != failover.OutcomeTimeout {
+		return
+	}
+	now := p.now()
+	took := now.Sub(startedAt)
+	if p.homeResponses.observe(now, to.Name, p.isNear(to), took) {
+		_, slow := p.homeResponses.recent(now, to.Name)
+		p.counts.homesSlow.Inc(1)
+		p.event(core.EventRelay).WithField("home", to.Name).WithField("slow", slow).WithField("took_ms", took.Milliseconds()).Info("response of a home instance changed")
+	}
+}
+
+// homeResponses are the observed responses of home instances.
+type homeResponses struct {
+	mu        sync.Mutex
+	responses home.Responses
+}
+
+func (r *homeResponses) observe(now time.Time, i core.Instance, isNear bool, took time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.responses.Observe(now, i, isNear, took)
+}
+
+func (r *homeResponses) recent(now time.Time, i core.Instance) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.responses.Recent(now, i)
+}
+
+func (r *homeResponses) order(now time.Time, near, far []core.Instance) []core.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.responses.Order(now, near, far)
+}
+
 // groupOf returns a group and starts to serve it if this instance is not a home
 // instance of it. It returns nil if the configuration does not name the group.
 func (p *Proxy) groupOf(name core.Group) *group {
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -284,3 +285,38 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestSlowHomeIsPassedOver checks that the session after one that a home instance accepted
+// slowly goes to another home instance, and that the slow one gets sessions again.
+func TestSlowHomeIsPassedOver(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newNonHomeSimulation(t)
+	relayed := make(chan Peer, 1)
+	var delay atomic.Int64
+	sim.relay = func(to Peer) (*Relay, error) {
+		time.Sleep(time.Duration(delay.Load()))
+		relayed <- to
+		return &Relay{Run: func() string { return "" }, Stop: func(bool) {}}, nil
+	}
+	sim.startNonHome()
+	open := func(n int) core.Instance {
+		sim.open(fmt.Sprint("a", n), "bounded")
+		return receive(t, relayed, "relayed").Name
+	}
+	for n := range 5 {
+		open(n)
+	}
+	delay.Store(int64(200 * time.Millisecond))
+	slow := open(5)
+	delay.Store(0)
+	sim.waitFor(func() bool { return sim.proxy.counts.homesSlow.Count() > 0 })
+	for n := range 5 {
+		is.True(open(6+n) != slow)
+	}
+	for n := 11; open(n) != slow; n++ {
+		time.Sleep(20 * time.Millisecond)
+	}
+	sim.waitFor(func() bool { return sim.proxy.counts.homesSlow.Count() >= 2 })
+	is.True(sim.proxy.counts.homesMoved.Count() > 0)
+}
