Move homes away from an instance that begins a planned stop

Cause: an instance that drains stayed home of its groups until it was gone, so that others kept opening sessions there and were refused.

Change: it writes leaving to its entry (one conditional write for each planned stop); homes are assigned without leaving instances unless all leave.

Ruled out: only opening no sessions there, which leaves the group without a home in the data centre for the stop and the restart. The cost of this change is that the homes of the instance move twice, there and back, with new connections.

--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -144,6 +144,8 @@
 	// accepts none.
 	SessionAddress netip.AddrPort
 	Strength       home.Strength
+	// Leaving is true once the instance has begun a planned stop.
+	Leaving bool
 }
 
 // Membership announces this instance and lists the live instances.
@@ -151,6 +153,8 @@
 	// Maintain keeps this instance's entry alive and passes all live instances to offer
 	// until ctx ends.
 	Maintain func(ctx context.Context, offer func(live []Peer)) error
+	// Leave announces once that this instance has begun a planned stop.
+	Leave func(ctx context.Context) error
 }
 
 // Promoter makes an endpoint the primary of its group.
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -40,6 +40,7 @@
 	p := d.proxy
 	d.draining.Store(true)
 	p.event(core.EventDraining).WithField("sessions", p.sessionCount()).Info("drain started; not ready for new sessions")
+	go p.announceLeaving(ctx)
 	startedAt := time.Now()
 	notReadySince := p.now()
 	transactionAge, exitAge := p.settings.GracePeriod/2, p.settings.GracePeriod-exitMargin
@@ -61,6 +62,13 @@
 	end()
 }
 
+// announceLeaving tells the other instances that this one is no home instance any more.
+func (p *Proxy) announceLeaving(ctx context.Context) {
+	if err := p.dependencies.Membership.Leave(ctx); err != nil && ctx.Err() == nil {
+		p.event(core.EventDraining).WithError(err).Info("could not announce the planned stop")
+	}
+}
+
 // endIdleWhileIsolated ends idle sessions once new ones no longer arrive here, so that
 // their callers connect to an instance that can serve them.
 func (p *Proxy) endIdleWhileIsolated() {
--- a/proxy/home_instances.go
+++ b/proxy/home_instances.go
@@ -82,7 +82,7 @@
 	peers := make(map[core.Instance]Peer, len(c.livePeers))
 	for _, p := range c.livePeers {
 		peers[p.Name] = p
-		if p.SessionAddress.IsValid() {
+		if p.SessionAddress.IsValid() && !p.Leaving {
 			instances = append(instances, p.homeInstance())
 		}
 	}
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,6 +62,8 @@
 	callers        map[string]*testCaller
 	// peers are the listed instances.
 	peers []Peer
+	// left counts the announcements of a planned stop.
+	left atomic.Int64
 	// otherGroups are configured beside g and have no endpoints.
 	otherGroups []core.Group
 	// endpointsHeld delays the first list of endpoints until it is closed; nil delays
@@ -124,7 +127,7 @@
 			offer(s.peers)
 			<-ctx.Done()
 			return ctx.Err()
-		}},
+		}, Leave: func(context.Context) error { s.left.Add(1); return nil }},
 		Promoter: Promoter{Promote: s.promote},
 		Now:      now,
 	}
--- a/proxy/soak_test.go
+++ b/proxy/soak_test.go
@@ -111,7 +111,7 @@
 		Membership: Membership{Maintain: func(ctx context.Context, offer func([]Peer)) error {
 			offer(peers)
 			return forever(ctx)
-		}},
+		}, Leave: func(context.Context) error { return nil }},
 		Promoter: Promoter{Promote: s.promote},
 		Now:      clock.Now,
 	}
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -215,6 +216,38 @@
 	is.Equal(sim.fakes[0].last.Position, uint64(20))
 }
 
+// TestLeavingInstanceIsNoHome checks that an instance that stops announces it once, and that
+// one which announces it is no home instance any more, unless all do.
+func TestLeavingInstanceIsNoHome(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newNonHomeSimulation(t)
+	sim.startNonHome()
+	homes := func() []Peer { return sim.proxy.placement.Load().homes["g"] }
+	leaving := homes()[0].Name
+	n := len(homes())
+	list := slices.Clone(sim.peers)
+	for k := range list {
+		list[k].Leaving = list[k].Name == leaving
+	}
+	offer := func() {
+		sim.proxy.control.post(t.Context(), func(time.Time) { sim.proxy.control.updatePeers(slices.Clone(list)) })
+	}
+	offer()
+	sim.waitFor(func() bool {
+		return !slices.ContainsFunc(homes(), func(p Peer) bool { return p.Name == leaving })
+	})
+	is.Equal(len(homes()), n)
+	for k := range list {
+		list[k].Leaving = true
+	}
+	offer()
+	sim.waitFor(func() bool { return slices.ContainsFunc(homes(), func(p Peer) bool { return p.Name == leaving }) })
+	close(sim.stop)
+	is.NoErr(receive(t, sim.done, "end of the instance"))
+	is.Equal(sim.left.Load(), int64(1))
+}
+
 // TestRecover checks that an instance needs no state of its own: one that replaces an
 // instance that lost power reads what that one acknowledged, and writes, with only the
 // directory of the endpoints, the configuration and the last promotion lease.
