--- a/core/event.go
+++ b/core/event.go
@@ -31,4 +31,5 @@
 	EventIsolated      Event = 504
 	EventRelay         Event = 505
 	EventRestored      Event = 506
+	EventHomes         Event = 507
 )
--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"anviltack/core"
+	"anviltack/core/home"
 	"anviltack/core/quota"
 )
 
@@ -145,6 +146,9 @@
 	// SessionAddress is where the instance accepts relayed sessions; invalid if it
 	// accepts none.
 	SessionAddress netip.AddrPort
+	Strength       home.Strength
+	// Leaving is true once the instance has begun a planned stop.
+	Leaving bool
 }
 
 // Membership announces this instance and lists the live instances.
@@ -152,6 +156,8 @@
 	// Maintain keeps this instance's entry alive and passes all live instances to offer
 	// until ctx ends.
 	Maintain func(ctx context.Context, offer func(live []Peer)) error
+	// Leave announces once that this instance has begun a planned stop.
+	Leave func(ctx context.Context) error
 	// Listing describes the list that was offered last; nil if it is always current.
 	Listing func() Listing
 	// Silence is the longest usual time between two values of HeardAt.
--- a/proxy/home_instances.go
+++ b/proxy/home_instances.go
@@ -15,6 +15,10 @@
 	listedAt time.Time
 }
 
+func (p Peer) homeInstance() home.Instance {
+	return home.Instance{Name: p.Name, DataCentre: p.DataCentre, Strength: p.Strength}
+}
+
 // shareRetention is how long an instance that is no longer listed keeps its share of the
 // endpoints' connections: it may still run and only be unable to reach the list.
 const shareRetention = 20 * time.Second
@@ -79,13 +83,13 @@
 	peers := make(map[core.Instance]Peer, len(c.livePeers))
 	for _, p := range c.livePeers {
 		peers[p.Name] = p
-		if p.SessionAddress.IsValid() {
-			instances = append(instances, home.Instance{Name: p.Name, DataCentre: p.DataCentre})
+		if p.SessionAddress.IsValid() && !p.Leaving {
+			instances = append(instances, p.homeInstance())
 		}
 	}
 	if len(instances) == 0 {
 		for _, p := range c.livePeers {
-			instances = append(instances, home.Instance{Name: p.Name, DataCentre: p.DataCentre})
+			instances = append(instances, p.homeInstance())
 		}
 	}
 	slots := c.slots()
@@ -103,6 +107,24 @@
 		}
 	}
 	c.monitored = c.chooseMonitored()
+	c.reportHomes(len(instances))
+}
+
+// reportHomes counts and logs the homes that moved with an assignment.
+func (c *control) reportHomes(instances int) {
+	moved := home.Moved(c.reportedHomes, c.homes)
+	c.reportedHomes = c.homes
+	if moved == 0 {
+		return
+	}
+	own := 0
+	for _, homes := range c.homes {
+		if slices.Contains(homes, c.self()) {
+			own++
+		}
+	}
+	c.proxy.counts.homesMoved.Inc(int64(moved))
+	c.proxy.event(core.EventHomes).WithField("groups", len(c.homes)).WithField("instances", instances).WithField("moved", moved).WithField("own", own).Info("home instances assigned")
 }
 
 // chooseMonitored returns the group that this instance connects to although it is home of
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -34,6 +34,8 @@
 	limitsGranted   metrics.Counter
 	limitsRefused   metrics.Counter
 	limitsAsked     metrics.Counter
+	homesMoved      metrics.Counter
+	homesSlow       metrics.Counter
 	readTime        metrics.Histogram
 	writeTime       metrics.Histogram
 	confirmTime     metrics.Histogram
@@ -61,6 +63,8 @@
 		limitsGranted:   metrics.GetOrRegisterCounter("limits_granted", r),
 		limitsRefused:   metrics.GetOrRegisterCounter("limits_refused", r),
 		limitsAsked:     metrics.GetOrRegisterCounter("limits_asked", r),
+		homesMoved:      metrics.GetOrRegisterCounter("homes_moved", r),
+		homesSlow:       metrics.GetOrRegisterCounter("homes_slow", r),
 		readTime:        histogram("read_ns"),
 		writeTime:       histogram("write_ns"),
 		confirmTime:     histogram("confirm_ns"),
@@ -166,6 +170,28 @@
 // dumpedOrganisations limits the organisations listed for each endpoint in the dump.
 const dumpedOrganisations = 5
 
+// homeDump is another home instance of a group in the dump.
+type homeDump struct {
+	Instance core.Instance
+	Cores    float64
+	LinkMbps float64
+	// ResponseMs is how long it took to open sessions lately, or zero.
+	ResponseMs int64
+	Slow       bool
+}
+
+// dumpHomes returns the other home instances of the groups.
+func (p *Proxy) dumpHomes() map[core.Group][]homeDump {
+	dump := make(map[core.Group][]homeDump)
+	for g, homes := range p.placement.Load().homes {
+		for _, h := range homes {
+			took, slow := p.homeResponses.recent(p.now(), h.Name)
+			dump[g] = append(dump[g], homeDump{Instance: h.Name, Cores: h.Strength.Cores, LinkMbps: h.Strength.LinkMbps, ResponseMs: took.Milliseconds(), Slow: slow})
+		}
+	}
+	return dump
+}
+
 // writeDump writes the state of the instance.
 func (p *Proxy) writeDump(w http.ResponseWriter, _ *http.Request) {
 	var groups []groupDump
@@ -189,7 +215,12 @@
 		Sessions int
 		Groups   []groupDump
 		Limits   limitsDump
-	}{Instance: p.settings.Instance, Ready: p.IsReady(), Sessions: p.sessionCount(), Groups: groups, Limits: p.limits.dump()}
+		// Homes are the other home instances of each group.
+		Homes map[core.Group][]homeDump
+	}{
+		Instance: p.settings.Instance, Ready: p.IsReady(), Sessions: p.sessionCount(), Groups: groups,
+		Limits: p.limits.dump(), Homes: p.dumpHomes(),
+	}
 	body.StoreEra, _ = p.dependencies.LeaseStore.Era()
 	if c := p.config.Load(); c != nil {
 		body.Version = c.Version
