Let a missing owner announce itself to its data centre

An instance that restarted in the 6 s in which a missing one may still grant did not know it and took over its part. Change: a missing instance that may grant announces itself every 250 ms (MISSING); who hears it counts it as an owner until it has stopped for certain.

--- a/core/quota/roster.go
+++ b/core/quota/roster.go
@@ -32,6 +32,10 @@
 	// ContactInterval is the interval at which an instance contacts another one of its data
 	// centre while the source of its list is silent.
 	ContactInterval = time.Second
+	// AnnounceInterval is the interval at which an instance that is missing in the list and
+	// may grant makes itself known to the others of its data centre: one that has just
+	// started does not know it.
+	AnnounceInterval = 250 * time.Millisecond
 	// contactTTL is how long a contact between instances counts.
 	contactTTL = 3 * ContactInterval
 )
@@ -186,6 +190,20 @@
 	r.contactAt = sentAt
 }
 
+// Meet records an announcement of another instance: it counts as an owner though it may be
+// missing in the list.
+func (r *Roster) Meet(now time.Time, from Instance) {
+	if from.Name == "" || from.Name == r.self.Name || r.others[from.Name] != nil {
+		return
+	}
+	r.others[from.Name] = &member{centre: from.DataCentre, goneAt: now}
+	r.absent++
+	r.change(now)
+}
+
+// IsMissing reports whether this instance is missing in the list and may still grant.
+func (r *Roster) IsMissing() bool { return !r.goneAt.IsZero() && r.isSettled }
+
 // summarize sets the digest of the list.
 func (r *Roster) summarize() {
 	var names []string
--- a/core/quota/roster_test.go
+++ b/core/quota/roster_test.go
@@ -160,3 +160,29 @@
 	}
 	return d
 }
+
+// TestMissingOwnerIsMet checks that an instance which has just started leaves its parts to one
+// that is missing in the list and announces itself, until that has stopped for certain.
+func TestMissingOwnerIsMet(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := NewRoster(Instance{Name: "i0", DataCentre: "a"}, []core.DataCentre{"a", "b"}, time.Second)
+	r.Resume()
+	r.Hear(now)
+	r.Observe(now, []Instance{{Name: "i2", DataCentre: "b"}}, true)
+	r.Tick(now)
+	is.Equal(r.Share("o"), 0.5) // all parts of its data centre
+	r.Meet(now, Instance{Name: "i1", DataCentre: "a"})
+	is.Equal(r.Share("o"), 0.25)
+	r.Meet(now, Instance{Name: "i2", DataCentre: "b"})
+	is.Equal(r.Share("o"), 0.25)
+	now = now.Add(maxAbsence)
+	r.Hear(now)
+	r.Tick(now)
+	is.Equal(r.Share("o"), 0.25)
+	now = now.Add(r.takeoverDelay())
+	r.Hear(now)
+	r.Tick(now)
+	r.Tick(now)
+	is.Equal(len(r.others), 1)
+}
--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -154,6 +154,7 @@
 	s.at(n, delay+s.jitter(300*time.Millisecond), func() { s.follow(n) })
 	s.at(n, delay+s.jitter(500*time.Millisecond), func() { s.renew(n) })
 	s.at(n, delay, func() { s.tick(n) })
+	s.at(n, delay, func() { s.announce(n) })
 }
 
 func (s *simulation) jitter(d time.Duration) time.Duration {
@@ -221,6 +222,17 @@
 	s.at(n, ContactInterval, func() { s.tick(n) })
 }
 
+// announce makes an instance that is missing in the list known to its neighbours.
+func (s *simulation) announce(n *simNode) {
+	if n.roster.IsMissing() {
+		for _, i := range n.roster.Neighbours() {
+			to := s.nodes[i]
+			s.contact(n, to, func() { to.roster.Meet(s.now, n.self) }, func() {})
+		}
+	}
+	s.at(n, AnnounceInterval, func() { s.announce(n) })
+}
+
 // contact sends a message that a node handles, and handles the answer.
 func (s *simulation) contact(from, to *simNode, handle, answered func()) {
 	sentAt := s.now
--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -177,8 +177,12 @@
 
 // LimitQuestion asks an instance for tokens of several organisations.
 type LimitQuestion struct {
-	From     core.Instance
-	Requests []quota.Request
+	// From is the instance that asks, in DataCentre. IsMissing is true if it is missing in
+	// the list of instances and may still grant.
+	From       core.Instance
+	DataCentre core.DataCentre
+	IsMissing  bool
+	Requests   []quota.Request
 }
 
 // LimitAnswer answers a LimitQuestion with one reply to each request, in order.
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -33,8 +33,10 @@
 	roster *quota.Roster
 	// isResumed is true once the roster knows that the instance was listed at its start.
 	isResumed bool
-	ledger    *quota.Ledger
-	stocks    map[core.Organisation]*limitStock
+	// isAnnouncing is true while announce runs.
+	isAnnouncing bool
+	ledger       *quota.Ledger
+	stocks       map[core.Organisation]*limitStock
 	// peers are the instances that the roster knows by name, as they were last listed.
 	peers map[core.Instance]Peer
 	links map[core.Instance]*ownerLink
@@ -94,6 +96,10 @@
 	}
 	l.roster.Observe(l.proxy.now(), instances, l.proxy.listing().Listed)
 	l.refreshLocked()
+	if l.roster.IsMissing() && !l.isAnnouncing {
+		l.isAnnouncing = true
+		go l.announce()
+	}
 }
 
 // refreshLocked brings what is known of the list, and whether this instance may grant, up
@@ -154,6 +160,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refreshLocked()
+	if q.IsMissing {
+		l.roster.Meet(now, quota.Instance{Name: q.From, DataCentre: q.DataCentre})
+	}
 	a := LimitAnswer{Sign: l.roster.Sign(now), Replies: make([]quota.Reply, 0, len(q.Requests))}
 	for _, r := range q.Requests {
 		a.Replies = append(a.Replies, l.grantLocked(now, q.From, r))
--- a/proxy/limits_owner.go
+++ b/proxy/limits_owner.go
@@ -56,6 +56,24 @@
 	l.startLocked(to, link)
 }
 
+// announce makes this instance known to others of its data centre while it is missing in
+// the list.
+func (l *limits) announce() {
+	for {
+		l.mu.Lock()
+		l.isAnnouncing = l.roster.IsMissing()
+		if !l.isAnnouncing {
+			l.mu.Unlock()
+			return
+		}
+		for _, i := range l.roster.Neighbours() {
+			l.contactLocked(i)
+		}
+		l.mu.Unlock()
+		time.Sleep(quota.AnnounceInterval)
+	}
+}
+
 func (l *limits) linkLocked(to core.Instance) *ownerLink {
 	link := l.links[to]
 	if link == nil {
@@ -83,8 +101,8 @@
 			return
 		}
 		link.pending, link.contactDue = nil, false
+		q := LimitQuestion{From: l.selfName(), DataCentre: core.DataCentre(l.proxy.settings.DataCentre), IsMissing: l.roster.IsMissing()}
 		l.mu.Unlock()
-		q := LimitQuestion{From: l.selfName()}
 		for _, a := range batch {
 			q.Requests = append(q.Requests, a.ask.Request)
 		}
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -136,6 +136,32 @@
 	is.Equal(len(f.proxies["i0"].limits.peers), 0)
 }
 
+// TestMissingInstanceAnnouncesItself checks that an instance which its list lacks makes itself
+// known to the other instance of its data centre, for as long as it may grant.
+func TestMissingInstanceAnnouncesItself(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newLimitFleet(t, OrganisationSettings{Rate: 8, Burst: 40})
+	questions := make(chan LimitQuestion, 100)
+	l := f.proxies["i0"].limits
+	l.proxy.dependencies.Limits.Ask = func(_ context.Context, to Peer, q LimitQuestion) (LimitAnswer, error) {
+		is.Equal(to.Name, core.Instance("i4"))
+		questions <- q
+		return LimitAnswer{}, nil
+	}
+	l.proxy.dependencies.Membership.Listing = func() Listing { return Listing{HeardAt: f.clock(), Resumed: true} }
+	l.observe([]Peer{l.peers["i4"]})
+	q := receive(t, questions, "an announcement")
+	is.True(q.IsMissing && q.DataCentre == "dc0" && len(q.Requests) == 0)
+	receive(t, questions, "a second announcement")
+	for n := range 7 {
+		f.advance(time.Second)
+		l.mu.Lock()
+		is.Equal(l.roster.IsMissing(), n < 5) // the sixth second ends it
+		l.mu.Unlock()
+	}
+}
+
 // TestLimitReports checks that refusals are counted, reported once a second, and in the dump
 // and the metrics.
 func TestLimitReports(t *testing.T) {
