--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"anviltack/core"
 )
@@ -121,3 +122,25 @@
 	is.True(math.Abs(shares(large)-1) < 0.001)
 	is.True(shares(small) < 0.26)
 }
+
+// TestBucketBound draws takes and returns of tokens and checks that a bucket never grants
+// more in any period than its rate and burst allow.
+func TestBucketBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate, burst := rapid.Float64Range(0.5, 100).Draw(t, "rate"), rapid.Float64Range(1, 100).Draw(t, "burst")
+		now := time.Unix(1000, 0)
+		b := bucket{rate: rate, burst: burst, tokens: burst, at: now}
+		granted, elapsed := 0, 0.0
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			d := rapid.Float64Range(0, 2).Draw(t, "wait")
+			now, elapsed = now.Add(time.Duration(d*float64(time.Second))), elapsed+d
+			taken := b.take(now, rapid.IntRange(0, 50).Draw(t, "want"))
+			returned := rapid.IntRange(0, taken).Draw(t, "returned")
+			b.refund(now, now, returned)
+			granted += taken - returned
+			if float64(granted) > burst+rate*elapsed+0.001 {
+				t.Fatalf("%d granted in %g s", granted, elapsed)
+			}
+		}
+	})
+}
