--- a/core/quota/roster.go
+++ b/core/quota/roster.go
@@ -18,8 +18,8 @@
 	// minSlots is how many parts a limit has at least, so that the loss of one owner
 	// leaves two thirds of it.
 	minSlots = 3
-	// minPartTokens is how many tokens a part of a larger limit has in a second and in its
-	// burst at least; in smaller parts, tokens lie where few ask for them.
+	// minPartTokens is how many tokens a second, and of burst, each part of a limit with more
+	// parts than minSlots has at least; in smaller parts tokens lie where few ask for them.
 	minPartTokens = 10
 	// maxMultiple is how many times as many parts as minSlots a large limit has at most.
 	maxMultiple = 4
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -102,7 +102,8 @@
 // and the time remaining until its timeout.
 func (s *session) connectionRequest(e *endpoint, r Route, arrived time.Time, remaining time.Duration) connectionRequest {
 	return connectionRequest{
-		organisation: s.organisation, weight: s.proxy.config.Load().weights[s.organisation], database: s.caller.Database, priority: s.queuePriority(r, arrived), deadline: arrived.Add(r.TargetTime), maxWait: e.maxWait(arrived, remaining, r),
+		organisation: s.organisation, weight: s.proxy.config.Load().weights[s.organisation], database: s.caller.Database,
+		priority: s.queuePriority(r, arrived), deadline: arrived.Add(r.TargetTime), maxWait: e.maxWait(arrived, remaining, r),
 		target: r.TargetTime, shortestTarget: r.shortestTarget,
 	}
 }
