--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -116,16 +116,7 @@
 
 // run does what is due every limitsInterval until ctx ends.
 func (l *limits) run(ctx context.Context) error {
-	ticker := time.NewTicker(limitsInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			l.tick()
-		}
-	}
+	return repeat(ctx, limitsInterval, l.tick)
 }
 
 func (l *limits) tick() {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -211,6 +211,20 @@
 	}
 }
 
+// repeat calls do after each interval until ctx ends.
+func repeat(ctx context.Context, interval time.Duration, do func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
 // serveMetrics serves metrics and the state dump.
 func (p *Proxy) serveMetrics(ctx context.Context) error {
 	mux := http.NewServeMux()
--- a/proxy/traffic.go
+++ b/proxy/traffic.go
@@ -116,14 +116,5 @@
 
 // reportTraffic logs the totals at intervals until ctx ends.
 func (p *Proxy) reportTraffic(ctx context.Context) error {
-	ticker := time.NewTicker(trafficLogInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			p.logTraffic()
-		}
-	}
+	return repeat(ctx, trafficLogInterval, p.logTraffic)
 }
