Log why a relayed session ended without an answer

Callers saw a whole request without an answer; the one line about it (505) did not tell which side ended the session, how long the statement had waited, which limit applied or whether a configuration was awaited. Change: event 505 has the cause, the wait, the limit, whether a transaction was open and the configuration versions; relays_ended_CAUSE counts the ends, config_wait_ns the waits of statements for a configuration (held_ms in event 402), and transactions_idle_ended the sessions that a home instance ends because of an idle transaction, which left no trace.

--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -57,14 +57,40 @@
 
 // Relay is a session that is forwarded to another instance.
 type Relay struct {
-	// Run forwards messages until the session ends. It returns the ID of the statement
-	// that was not answered, or an empty string.
-	Run func() (lost string)
+	// Run forwards messages until the session ends.
+	Run func() RelayEnd
 	// Stop ends the session between two statements; inside a transaction only if
 	// inTransaction is set.
 	Stop func(inTransaction bool)
 }
 
+// RelayCause is the reason why a relayed session ended.
+type RelayCause string
+
+// The causes of the end of a relayed session.
+const (
+	RelayCallerLeft  RelayCause = "caller_left"
+	RelayStopped     RelayCause = "stopped"
+	RelayHomeStopped RelayCause = "home_stopped"
+	RelayHomeClosed  RelayCause = "home_closed"
+	RelayHomeLate    RelayCause = "home_late"
+	RelayNotSent     RelayCause = "not_sent"
+)
+
+// RelayEnd describes the end of a relayed session.
+type RelayEnd struct {
+	Cause RelayCause
+	// Err is the error that ended the session; nil if no call failed.
+	Err error
+	// Unanswered is the ID of the statement that the home instance did not answer, empty for
+	// none. Waited is how long it waited, and Limit the longest wait for its answer.
+	Unanswered string
+	Waited     time.Duration
+	Limit      time.Duration
+	// InTransaction is true if a transaction was open.
+	InTransaction bool
+}
+
 // Endpoints implements the protocol between the instance and endpoints.
 type Endpoints struct {
 	// Dial opens a connection for the statements of an organisation; for those of the
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -28,24 +30,35 @@
 	eventsDropped   metrics.Counter
 	relayed         metrics.Counter
 	relaysLost      metrics.Counter
-	sessionPanics   metrics.Counter
-	keysDenied      metrics.Counter
-	storeRestores   metrics.Counter
-	limitsGranted   metrics.Counter
-	limitsRefused   metrics.Counter
-	limitsAsked     metrics.Counter
-	homesMoved      metrics.Counter
-	homesSlow       metrics.Counter
-	readTime        metrics.Histogram
-	writeTime       metrics.Histogram
-	confirmTime     metrics.Histogram
+	// relayEnds counts the relayed sessions that ended, by cause.
+	relayEnds     map[RelayCause]metrics.Counter
+	sessionPanics metrics.Counter
+	keysDenied    metrics.Counter
+	storeRestores metrics.Counter
+	limitsGranted metrics.Counter
+	limitsRefused metrics.Counter
+	limitsAsked   metrics.Counter
+	homesMoved    metrics.Counter
+	homesSlow     metrics.Counter
+	readTime      metrics.Histogram
+	writeTime     metrics.Histogram
+	confirmTime   metrics.Histogram
+	// heldTime is how long statements waited for a configuration; those that did not wait are
+	// left out.
+	heldTime metrics.Histogram
+	idleEnds metrics.Counter
 }
 
 func newCounts(r metrics.Registry) counts {
 	histogram := func(name string) metrics.Histogram {
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewUniformSample(histogramSampleSize))
 	}
+	relayEnds := make(map[RelayCause]metrics.Counter)
+	for _, c := range []RelayCause{RelayCallerLeft, RelayStopped, RelayHomeStopped, RelayHomeClosed, RelayHomeLate, RelayNotSent} {
+		relayEnds[c] = metrics.GetOrRegisterCounter("relays_ended_"+string(c), r)
+	}
 	return counts{
+		relayEnds:       relayEnds,
 		statements:      metrics.GetOrRegisterCounter("statements", r),
 		refusals:        metrics.GetOrRegisterCounter("refusals", r),
 		readsMoved:      metrics.GetOrRegisterCounter("reads_moved", r),
@@ -68,6 +81,8 @@
 		readTime:        histogram("read_ns"),
 		writeTime:       histogram("write_ns"),
 		confirmTime:     histogram("confirm_ns"),
+		heldTime:        histogram("config_wait_ns"),
+		idleEnds:        metrics.GetOrRegisterCounter("transactions_idle_ended", r),
 	}
 }
 
@@ -81,11 +96,27 @@
 	case KindWrite, KindCommit:
 		p.counts.writeTime.Update(int64(elapsed))
 	}
+	if st.Held > 0 {
+		p.counts.heldTime.Update(int64(st.Held))
+	}
 	if a.Err != nil {
 		p.recordFailure(s, st, a.Err, elapsed)
 	}
 }
 
+// recordIdleEnd counts and logs a session that ended because its caller was idle inside a
+// transaction for longer than limit.
+func (s *session) recordIdleEnd(limit time.Duration, err error) {
+	p := s.proxy
+	if limit == 0 || s.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	p.counts.idleEnds.Inc(1)
+	if p.requestLogs.Allow() {
+		p.event(core.EventSessionError).WithField("database", s.caller.Database).WithField("relayed", s.caller.Relayed).WithField("limit_ms", limit.Milliseconds()).Info("session ended: its transaction was idle for too long")
+	}
+}
+
 // recordFailure counts a statement that failed and logs the reason.
 func (p *Proxy) recordFailure(s *session, st Statement, err error, elapsed time.Duration) {
 	p.counts.refusals.Inc(1)
@@ -96,7 +127,7 @@
 	e := asError(err)
 	entry := p.event(core.EventRefused).WithField("id", st.ID).WithField("kind", st.Kind).WithField("database", s.caller.Database)
 	entry = entry.WithField("code", int(e.Code)).WithField("reason", e.Reason).WithField("retry_ms", e.RetryAfter.Milliseconds())
-	entry = entry.WithField("took_ms", elapsed.Milliseconds()).WithField("transaction", s.inTransaction.Load())
+	entry = entry.WithField("held_ms", st.Held.Milliseconds()).WithField("took_ms", elapsed.Milliseconds()).WithField("transaction", s.inTransaction.Load())
 	if r, g, err := s.routeAndGroup(); err == nil {
 		state := g.state.Load()
 		entry = entry.WithField("group", r.Group).WithField("version", p.config.Load().Version).WithField("term", state.term)
--- a/proxy/minimum_version.go
+++ b/proxy/minimum_version.go
@@ -47,10 +47,15 @@
 }
 
 // await waits until the configuration in force has at least the minimum version, or the
-// deadline passes.
-func (m *minimumVersion) await(p *Proxy) {
+// deadline passes, and returns how long it waited.
+func (m *minimumVersion) await(p *Proxy) time.Duration {
 	const pollInterval = 5 * time.Millisecond
+	if p.configVersion() >= m.version.Load() {
+		return 0
+	}
+	startedAt := p.now()
 	for p.configVersion() < m.version.Load() && p.now().UnixNano() < m.waitUntil.Load() {
 		time.Sleep(pollInterval)
 	}
+	return p.now().Sub(startedAt)
 }
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -124,11 +124,17 @@
 	if caller.Ready() != nil {
 		return
 	}
-	if lost := r.Run(); lost != "" {
-		p.avoidHome(g, to.Name)
-		p.counts.relaysLost.Inc(1)
-		p.event(core.EventRelay).WithField("id", lost).WithField("database", caller.Database).WithField("home", to.Name).Warn("home instance did not answer a relayed statement")
+	end := r.Run()
+	p.counts.relayEnds[end.Cause].Inc(1)
+	if end.Unanswered == "" {
+		return
 	}
+	p.avoidHome(g, to.Name)
+	p.counts.relaysLost.Inc(1)
+	entry := p.event(core.EventRelay).WithField("id", end.Unanswered).WithField("database", caller.Database).WithField("home", to.Name)
+	entry = entry.WithField("cause", end.Cause).WithField("waited_ms", end.Waited.Milliseconds()).WithField("limit_ms", end.Limit.Milliseconds())
+	entry = entry.WithField("transaction", end.InTransaction).WithField("version", p.configVersion()).WithField("newest_version", p.newestVersion())
+	withError(entry, end.Err).Warn("home instance did not answer a relayed statement")
 }
 
 // relayCandidates returns the home instances to try for a group: those of the local
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -73,7 +73,7 @@
 	sim.relay = func(to Peer) (*Relay, error) {
 		relayed <- to
 		return &Relay{
-			Run:  func() string { <-stopped; return "" },
+			Run:  func() RelayEnd { <-stopped; return RelayEnd{Cause: RelayStopped} },
 			Stop: func(bool) { once.Do(func() { close(stopped) }) },
 		}, nil
 	}
@@ -100,7 +100,7 @@
 	relayed := make(chan Peer, 1)
 	sim.relay = func(to Peer) (*Relay, error) {
 		relayed <- to
-		return &Relay{Run: func() string { return "" }, Stop: func(bool) {}}, nil
+		return &Relay{Run: func() RelayEnd { return RelayEnd{Cause: RelayCallerLeft} }, Stop: func(bool) {}}, nil
 	}
 	sim.start()
 	sim.waitFor(func() bool {
@@ -214,7 +214,7 @@
 	relayed := make(chan Peer, 1)
 	sim.relay = func(to Peer) (*Relay, error) {
 		relayed <- to
-		return &Relay{Run: func() string { return "" }, Stop: func(bool) {}}, nil
+		return &Relay{Run: func() RelayEnd { return RelayEnd{Cause: RelayCallerLeft} }, Stop: func(bool) {}}, nil
 	}
 	sim.startAndWait()
 	sim.setField(sim.find("r"), "dark", "yes")
@@ -303,7 +303,7 @@
 		case relayed <- struct{}{}:
 		default:
 		}
-		return &Relay{Run: func() string { return "" }, Stop: func(bool) {}}, nil
+		return &Relay{Run: func() RelayEnd { return RelayEnd{Cause: RelayCallerLeft} }, Stop: func(bool) {}}, nil
 	}
 	sim.startNonHome()
 	c := sim.open("a", "bounded")
@@ -329,7 +329,7 @@
 	sim.relay = func(to Peer) (*Relay, error) {
 		time.Sleep(time.Duration(delay.Load()))
 		relayed <- to
-		return &Relay{Run: func() string { return "" }, Stop: func(bool) {}}, nil
+		return &Relay{Run: func() RelayEnd { return RelayEnd{Cause: RelayCallerLeft} }, Stop: func(bool) {}}, nil
 	}
 	sim.startNonHome()
 	open := func(n int) core.Instance {
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -158,10 +158,11 @@
 		}
 		st, err := s.caller.Next(timeout)
 		if err != nil {
+			s.recordIdleEnd(timeout, err)
 			return
 		}
 		arrived := s.proxy.now()
-		s.proxy.minimumVersion.await(s.proxy)
+		st.Held += s.proxy.minimumVersion.await(s.proxy)
 		a := s.answer(st, arrived)
 		s.returnToken()
 		if a.Err != nil {
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -51,6 +51,8 @@
 	After core.Point
 	// AfterAt is a time by which the group had reached After.
 	AfterAt time.Time
+	// Held is how long the statement was held back until a configuration arrived.
+	Held time.Duration
 }
 
 // State is the transaction state of a session.
