--- a/proxy/session.go
+++ b/proxy/session.go
@@ -161,7 +161,7 @@
 			s.recordIdleEnd(timeout, err)
 			return
 		}
-		arrived := s.proxy.now()
+		arrived := s.proxy.now().Add(-st.Held)
 		st.Held += s.proxy.minimumVersion.await(s.proxy)
 		a := s.answer(st, arrived)
 		s.returnToken()
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -221,3 +221,15 @@
 	is.NoErr(sim.open("last", "newest").send(Statement{ID: "last", Kind: KindWrite}).Err)
 	is.Equal(sim.proxy.counts.sessionPanics.Count(), int64(10))
 }
+
+// TestHeldStatementKeepsItsTimeout guards against an answer that comes after the relaying
+// instance has given up: the time for which a statement was held back counts.
+func TestHeldStatementKeepsItsTimeout(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	c := sim.open("a", "session")
+	is.NoErr(c.send(Statement{ID: "1", Kind: KindRead}).Err)
+	is.Equal(asError(c.send(Statement{ID: "2", Kind: KindRead, Held: time.Minute}).Err).Reason, "the statement timed out before an endpoint ran it")
+}
