Answer a relayed statement that the home instance leaves unanswered

Callers saw a whole request get neither an answer nor a refusal: the connection closed when the home instance's connection ended, when its answer was late, or when the statement could not be sent to it; and the answer to a statement in an open transaction was dropped if its last line was missing. Cause: four places ended a relayed session, each closing both connections: the reader of statements, the reader of answers, the planned stop and the deadline of the home's connection. None of them owned the statement that had been read. A stop could also close the connection between the reading of a statement and its recording. Ruled out: another home instance for the statement, because the session's values and prepared statements are at the first one. A statement that was read is answered: by the home instance, or else with an unknown outcome only if it may have been committed, ABORTED in a transaction, which the home instance rolls back, FAILED for a read, and BUSY if nothing was run or is kept.

--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -82,13 +82,15 @@
 	Cause RelayCause
 	// Err is the error that ended the session; nil if no call failed.
 	Err error
-	// Unanswered is the ID of the statement that the home instance did not answer, empty for
-	// none. Waited is how long it waited, and Limit the longest wait for its answer.
-	Unanswered string
-	Waited     time.Duration
-	Limit      time.Duration
-	// InTransaction is true if a transaction was open.
-	InTransaction bool
+	// State is the session's state before Statement.
+	State State
+	// Statement is the one that the home instance did not answer, and Answer the error that
+	// the caller got instead; nil if there was none.
+	Statement Statement
+	Answer    *core.Error
+	// Waited is how long the statement waited, and Limit the longest wait for its answer.
+	Waited time.Duration
+	Limit  time.Duration
 }
 
 // Endpoints implements the protocol between the instance and endpoints.
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -126,17 +126,41 @@
 	}
 	end := r.Run()
 	p.counts.relayEnds[end.Cause].Inc(1)
-	if end.Unanswered == "" {
+	if end.Answer == nil {
 		return
 	}
-	p.avoidHome(g, to.Name)
+	if end.Cause != RelayHomeStopped {
+		p.avoidHome(g, to.Name)
+	}
 	p.counts.relaysLost.Inc(1)
-	entry := p.event(core.EventRelay).WithField("id", end.Unanswered).WithField("database", caller.Database).WithField("home", to.Name)
-	entry = entry.WithField("cause", end.Cause).WithField("waited_ms", end.Waited.Milliseconds()).WithField("limit_ms", end.Limit.Milliseconds())
-	entry = entry.WithField("transaction", end.InTransaction).WithField("version", p.configVersion()).WithField("newest_version", p.newestVersion())
+	entry := p.event(core.EventRelay).WithField("id", end.Statement.ID).WithField("kind", end.Statement.Kind).WithField("database", caller.Database)
+	entry = entry.WithField("home", to.Name).WithField("cause", end.Cause).WithField("state", end.State).WithField("code", int(end.Answer.Code))
+	entry = entry.WithField("waited_ms", end.Waited.Milliseconds()).WithField("limit_ms", end.Limit.Milliseconds())
+	entry = entry.WithField("version", p.configVersion()).WithField("newest_version", p.newestVersion())
 	withError(entry, end.Err).Warn("home instance did not answer a relayed statement")
 }
 
+// UnansweredError returns the answer to a relayed statement that the home instance did not
+// answer before the session ended in a state. The home instance rolls back an open
+// transaction, so only a commit, or a write outside a transaction, has an unknown outcome.
+func UnansweredError(st Statement, s State, mayHaveRun bool) *core.Error {
+	const reason = "the instance that served the session did not answer"
+	isCommit := s == StateTransaction && st.Kind == KindCommit
+	mayWrite := s == StateIdle && (st.Kind == KindWrite || st.Kind == KindExecute)
+	switch {
+	case mayHaveRun && (isCommit || mayWrite):
+		return core.NewError(core.CodeOutcomeUnknown, reason)
+	case s != StateIdle:
+		return core.NewError(core.CodeTransactionLost, reason+"; the transaction is rolled back").WithRetry(defaultRetryAfter)
+	case !mayHaveRun:
+		return core.NewError(core.CodeDraining, reason+"; nothing was run").WithRetry(defaultRetryAfter)
+	case st.Kind == KindRead:
+		return core.NewError(core.CodeReadFailed, reason).WithRetry(defaultRetryAfter)
+	default:
+		return core.NewError(core.CodeNoConnection, reason+"; nothing is kept").WithRetry(defaultRetryAfter)
+	}
+}
+
 // relayCandidates returns the home instances to try for a group: those of the local
 // data centre first, each set in random order, but for those that respond slowly.
 func (p *Proxy) relayCandidates(g core.Group) []Peer {
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -352,3 +352,38 @@
 	sim.waitFor(func() bool { return sim.proxy.counts.homesSlow.Count() >= 2 })
 	is.True(sim.proxy.counts.homesMoved.Count() > 0)
 }
+
+// TestUnansweredError checks what a caller is told about a relayed statement that the home
+// instance did not answer: a refusal is true, and only what may have been committed has an
+// unknown outcome.
+func TestUnansweredError(t *testing.T) {
+	is := is.New(t)
+	const notRun, mayHaveRun = false, true
+	for _, c := range []struct {
+		kind       Kind
+		state      State
+		mayHaveRun bool
+		want       core.Code
+	}{
+		{KindWrite, StateIdle, mayHaveRun, core.CodeOutcomeUnknown},
+		{KindExecute, StateIdle, mayHaveRun, core.CodeOutcomeUnknown},
+		{KindRead, StateIdle, mayHaveRun, core.CodeReadFailed},
+		{KindBegin, StateIdle, mayHaveRun, core.CodeNoConnection},
+		{KindSet, StateIdle, mayHaveRun, core.CodeNoConnection},
+		{KindCommit, StateIdle, mayHaveRun, core.CodeNoConnection},
+		{KindWrite, StateIdle, notRun, core.CodeDraining},
+		{KindRead, StateIdle, notRun, core.CodeDraining},
+		{KindCommit, StateTransaction, mayHaveRun, core.CodeOutcomeUnknown},
+		{KindCommit, StateTransaction, notRun, core.CodeTransactionLost},
+		{KindCommit, StateFailed, mayHaveRun, core.CodeTransactionLost},
+		{KindWrite, StateTransaction, mayHaveRun, core.CodeTransactionLost},
+		{KindExecute, StateTransaction, notRun, core.CodeTransactionLost},
+		{KindRollback, StateTransaction, mayHaveRun, core.CodeTransactionLost},
+	} {
+		e := UnansweredError(Statement{Kind: c.kind}, c.state, c.mayHaveRun)
+		is.Equal(e.Code, c.want)                                                        // code
+		is.Equal(e.RetryAfter > 0, e.Code != core.CodeOutcomeUnknown)                   // when to come back
+		is.True(!c.mayHaveRun || e.Code != core.CodeDraining)                           // a statement that may have run is not said not to have
+		is.Equal(e.Code.IsNotRun(), !c.mayHaveRun || e.Code != core.CodeOutcomeUnknown) // promise
+	}
+}
