--- a/proxy/session.go
+++ b/proxy/session.go
@@ -114,6 +114,7 @@
 	}
 	p.addSession(s)
 	defer p.removeSession(s)
+	defer caller.Close() // the caller is told before a planned stop is complete
 	defer s.rollbackOpen()
 	if caller.Ready() != nil {
 		return
