Let a relayed statement take the time that the configuration in force gives it

Callers could see a statement end without its answer after a change of the configuration: the instance that relayed the session gave up after the timeout that the route had when the session began and 1 s, while the home instance worked on with the new, longer one. Cause: the timeout was copied at the session's start. Ruled out for the home instance: it reads its limits with each statement; a transaction keeps those of its beginning, on purpose, so the relaying instance keeps them as well. Change: the relaying instance waits for the longer of the timeout at the beginning of the statement or its transaction and the timeout in force, and looks again before it gives up.

--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -51,8 +51,8 @@
 	// Relayed is true if another instance relays the session to this one.
 	Relayed bool
 	// Relay opens the session at another instance, which must answer each statement
-	// within timeout.
-	Relay func(ctx context.Context, to Peer, timeout time.Duration, v ConfigVersions) (*Relay, error)
+	// within the timeout in force when it or its transaction began, or in force now.
+	Relay func(ctx context.Context, to Peer, timeout func() time.Duration, v ConfigVersions) (*Relay, error)
 }
 
 // Relay is a session that is forwarded to another instance.
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -41,7 +41,7 @@
 	}
 	for _, peer := range p.relayCandidates(r.Group) {
 		startedAt := p.now()
-		relay, err := p.openRelay(caller, peer, r.Timeout)
+		relay, err := p.openRelay(caller, peer, r)
 		p.observeHome(peer, startedAt, err)
 		if err != nil {
 			p.avoidHome(groupsNotServed(r.Group, err), peer.Name)
@@ -108,7 +108,13 @@
 }
 
 // openRelay opens the session at a home instance.
-func (p *Proxy) openRelay(caller *Caller, to Peer, timeout time.Duration) (*Relay, error) {
+func (p *Proxy) openRelay(caller *Caller, to Peer, r Route) (*Relay, error) {
+	timeout := func() time.Duration {
+		if current, err := p.route(caller.Database); err == nil {
+			return current.Timeout
+		}
+		return r.Timeout
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 	defer cancel()
 	return caller.Relay(ctx, to, timeout, p.configVersions())
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -496,7 +496,7 @@
 		Reject:    func(err error) { c.answers <- Answer{Err: err} },
 		Interrupt: func() { c.once.Do(func() { close(c.interrupt) }) },
 		Close:     func() {},
-		Relay: func(_ context.Context, to Peer, _ time.Duration, _ ConfigVersions) (*Relay, error) {
+		Relay: func(_ context.Context, to Peer, _ func() time.Duration, _ ConfigVersions) (*Relay, error) {
 			return s.relay(to)
 		},
 	}
