Answer a statement that a panic interrupts

Callers saw a session close without an answer to a statement that the instance had read, because a panic while it was answered was only contained where the session is served.

It is now contained where the statement is answered too. The answer has code 3001, which holds whatever ran; the open transaction is rolled back before the answer, which so has state I, and the session ends. Interrupt makes the end of a relayed session tell the other instance that a statement on its way was not run.

--- a/proxy/session.go
+++ b/proxy/session.go
@@ -68,7 +68,7 @@
 }
 
 // containPanic ends the session of the goroutine that panicked, so that one message which the
-// code cannot handle does not end all others.
+// code cannot handle does not end all others. It must be deferred itself.
 func (p *Proxy) containPanic(end func()) {
 	r := recover()
 	if r == nil {
@@ -164,7 +164,7 @@
 		}
 		arrived := s.proxy.now().Add(-st.Held)
 		st.Held += s.proxy.minimumVersion.await(s.proxy)
-		a := s.answer(st, arrived)
+		a, ok := s.answerOrContain(st, arrived)
 		s.returnToken()
 		if a.Err != nil {
 			s.lastRefusalAt = s.proxy.now()
@@ -173,6 +173,11 @@
 		if s.caller.Answer(a) != nil {
 			return
 		}
+		if !ok {
+			// An instance that relays the session learns that its next statement is not run.
+			s.caller.Interrupt()
+			return
+		}
 		if s.isBetterServedElsewhere(a.Err) {
 			return
 		}
@@ -186,6 +191,16 @@
 	return refused != nil && s.tx == nil && !s.caller.Relayed && s.proxy.isolated.Load()
 }
 
+// answerOrContain runs one statement. If that panics, the transaction ends, the outcome of the
+// statement is unknown and ok is false.
+func (s *session) answerOrContain(st Statement, arrived time.Time) (a Answer, ok bool) {
+	defer s.proxy.containPanic(func() {
+		s.rollbackOpen()
+		a = s.fail(core.NewError(core.CodeOutcomeUnknown, "a fault of the instance interrupted the statement"))
+	})
+	return s.answer(st, arrived), true
+}
+
 // answer runs one statement.
 func (s *session) answer(st Statement, arrived time.Time) Answer {
 	if s.tx != nil && s.tx.failed && st.Kind != KindCommit && st.Kind != KindRollback {
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -207,8 +207,8 @@
 	return strings.Join(slices.Concat(a.Rows, []string{a.Proof}), "; ") + state
 }
 
-// TestPanicsKeepCapacity checks that sessions which end by a panic give back their
-// connections: more of them than the instance may have statements in flight.
+// TestPanicsKeepCapacity checks that sessions which end by a panic answer their statement and
+// give back their connections: more of them than the instance may have statements in flight.
 func TestPanicsKeepCapacity(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -216,7 +216,9 @@
 	sim.startAndWait()
 	for n := range 10 {
 		sim.setField(sim.find("p"), "garbled", "yes")
-		is.Equal(sim.open(strconv.Itoa(n), "newest").send(Statement{ID: strconv.Itoa(n), Kind: KindWrite}).Err, errDisconnected)
+		c := sim.open(strconv.Itoa(n), "newest")
+		is.Equal(describe(c.send(Statement{ID: strconv.Itoa(n), Kind: KindWrite})), "3001 idle")
+		receive(t, c.ended, "end of the session")
 	}
 	is.NoErr(sim.open("last", "newest").send(Statement{ID: "last", Kind: KindWrite}).Err)
 	is.Equal(sim.proxy.counts.sessionPanics.Count(), int64(10))
