Count the connection of a transaction as closed once after a panic

After a panic in a transaction the instance counted its connection as closed twice, once where the statement was exchanged and once where the transaction was rolled back, and could then open more than its share of connections.

The exchange now takes the connection that it closes from the transaction.

TestPanicsInTransactionsKeepCount, three panics in transactions, failed before with "-3 != 0" for the open against the pooled connections, and passes now.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -32,6 +32,9 @@
 func (s *session) exchange(c *endpointConn, timeout time.Duration, st Statement, pipelineSetup bool) (Answer, error) {
 	defer func() {
 		if r := recover(); r != nil {
+			if s.tx != nil && s.tx.conn == c {
+				s.tx.conn = nil
+			}
 			c.release(false)
 			panic(r)
 		}
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -235,3 +235,29 @@
 	is.NoErr(c.send(Statement{ID: "1", Kind: KindRead}).Err)
 	is.Equal(asError(c.send(Statement{ID: "2", Kind: KindRead, Held: time.Minute}).Err).Reason, "the statement timed out before an endpoint ran it")
 }
+
+// TestPanicsInTransactionsKeepCount guards against counting the connection of a transaction
+// twice as closed after a panic, with which the instance opened more than its share.
+func TestPanicsInTransactionsKeepCount(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	for n := range 3 {
+		c := sim.open(strconv.Itoa(n), "newest")
+		is.NoErr(c.send(Statement{ID: "1", Kind: KindBegin}).Err)
+		is.NoErr(c.send(Statement{ID: "2", Kind: KindWrite}).Err)
+		sim.setField(sim.find("p"), "garbled", "yes")
+		is.Equal(describe(c.send(Statement{ID: "3", Kind: KindWrite})), "3001 idle")
+		receive(t, c.ended, "end of the session")
+	}
+	e := sim.proxy.placement.Load().groups["g"].state.Load().primary
+	var open, pooled int
+	sim.waitFor(func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		open, pooled = e.mix.Open, len(e.idle)
+		return e.sampling == 0 && e.mix.InFlight == 0
+	})
+	is.Equal(open, pooled)
+}
