Begin no transaction in a session that was told to stop

Callers could see their session end between two statements of a transaction that had just begun, although a planned stop, a withdrawn key or a change of homes leaves transactions alone: stop found no transaction while BEGIN had been read but not run yet, and Interrupt made the next wait fail.

stop now sets that the session stops before it looks for a transaction, and BEGIN shows its transaction before it looks whether the session stops. So either the transaction goes on until its end, or BEGIN is refused as not run and the session ends; the order does not matter, nor whether an interrupt has an effect while a statement is answered. A session in a transaction at the stop ends right after it.

--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -84,8 +84,8 @@
 
 func anySession(*session) bool { return true }
 
-// endSessions ends the chosen sessions that are idle, and also those in a transaction if
-// inTransactions is set.
+// endSessions ends the chosen sessions that are idle, and others after their transaction or, if
+// inTransactions is set, after their statement.
 func (p *Proxy) endSessions(inTransactions bool, isChosen func(*session) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -96,17 +96,17 @@
 	}
 }
 
-// stop ends the session between two statements; inside a transaction only if
-// inTransaction is set.
+// stop ends the session between two statements. An open transaction goes on until its end
+// unless inTransaction is set.
 func (s *session) stop(inTransaction bool) {
 	if s.relay != nil {
 		s.relay.Stop(inTransaction)
 		return
 	}
+	s.stopping.Store(true)
 	if s.inTransaction.Load() && !inTransaction {
 		return
 	}
-	s.stopping.Store(true)
 	s.caller.Interrupt()
 }
 
--- a/proxy/identity.go
+++ b/proxy/identity.go
@@ -76,7 +76,6 @@
 		}
 		denied++
 		s.keyWithdrawnAt.CompareAndSwap(0, p.now().UnixNano())
-		s.stopping.Store(true)
 		s.stop(false)
 	}
 	if denied > 0 {
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -456,6 +456,9 @@
 	ended      chan struct{}
 	interrupt  chan struct{}
 	once       sync.Once
+	// onRead is called with each statement that was read, before the session gets it; it may
+	// be nil and is set before the statement is sent.
+	onRead func(Statement)
 }
 
 var errDisconnected = errors.New("the caller left")
@@ -485,6 +488,9 @@
 				if !ok {
 					return st, errDisconnected
 				}
+				if c.onRead != nil {
+					c.onRead(st)
+				}
 				return st, nil
 			case <-c.interrupt:
 				return Statement{}, errDisconnected
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -58,6 +58,34 @@
 	is.Equal(sim.fakes[0].last, core.Point{Term: 1, Position: 10})
 }
 
+// TestStopDuringBegin guards against cutting a transaction between two statements because its
+// session was told to stop at the moment when its BEGIN had been read.
+func TestStopDuringBegin(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	c := sim.open("a", "newest")
+	c.onRead = func(Statement) { sim.proxy.endSessions(false, anySession) }
+	is.Equal(describe(c.send(Statement{ID: "1", Kind: KindBegin})), "2004, come back later idle")
+	receive(t, c.ended, "end of the session")
+}
+
+// TestStoppedSessionEndsAfterTransaction checks that a session that is told to stop during a
+// transaction ends right after it.
+func TestStoppedSessionEndsAfterTransaction(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	c := sim.open("a", "newest")
+	is.NoErr(c.send(Statement{ID: "1", Kind: KindBegin}).Err)
+	sim.proxy.endSessions(false, anySession)
+	is.NoErr(c.send(Statement{ID: "2", Kind: KindWrite}).Err)
+	is.Equal(describe(c.send(Statement{ID: "3", Kind: KindCommit})), "p at 1.11 map[]; signed by p idle")
+	receive(t, c.ended, "end of the session")
+}
+
 // TestIsolatedInstanceIsNotReady checks that the instance is not ready and ends idle
 // sessions while no endpoint answers.
 func TestIsolatedInstanceIsNotReady(t *testing.T) {
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -47,8 +47,13 @@
 	if s.proxy.drainer.refusesTransactions() {
 		return s.fail(core.NewError(core.CodeDraining, "the instance is shutting down").WithRetry(defaultRetryAfter))
 	}
-	s.tx = &transaction{readOnly: st.ReadOnly, beganAt: arrived, route: r, group: g}
+	// Either stop sees the transaction, or this sees that the session stops.
 	s.inTransaction.Store(true)
+	if s.stopping.Load() {
+		s.inTransaction.Store(false)
+		return s.fail(core.NewError(core.CodeDraining, "the session ends; no transaction began").WithRetry(defaultRetryAfter))
+	}
+	s.tx = &transaction{readOnly: st.ReadOnly, beganAt: arrived, route: r, group: g}
 	return s.done()
 }
 
