Interrupt no session that is being closed

The close of a session tells the other side that nothing more is run and waits up to 1 s for it to close, so that a statement on its way does not reset the connection. But the session still counted among those that a stop ends every 50 ms, and the next interrupt made that wait fail. A caller on a slow link could then lose that last message with the reset.

The session is now removed before its close. The stop waits for the close by the count of callers, so the second close ahead of the removal is not needed.

TestStopAwaitsClose, with a close that takes 500 ms, failed before with "not true: !c.interruptedClose.Load()" and passes now. Trial on a callerConn over loopback, with an interrupt after 50 ms and a statement after 60 ms: the close took 50.8 ms, and the caller still read the last message. So a loss because of this is only concluded, not seen.

--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -53,7 +53,7 @@
 		if moved {
 			p.endSessions(age >= transactionAge, anySession)
 		}
-		if moved && p.sessionCount() == 0 || age >= exitAge {
+		if moved && p.callers.Load() == 0 || age >= exitAge {
 			break
 		}
 		time.Sleep(drainPollInterval)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -87,6 +87,9 @@
 	isolated atomic.Bool
 	// partitioned is true while nothing outside the data centre responds.
 	partitioned atomic.Bool
+	// callers is the number of callers whose connections are not closed yet, from the end of
+	// their handshakes on.
+	callers atomic.Int64
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -81,7 +81,9 @@
 
 // serveCaller serves or relays a started session until it ends.
 func (p *Proxy) serveCaller(caller *Caller) {
-	defer caller.Close()
+	p.callers.Add(1)
+	defer p.callers.Add(-1)
+	defer caller.Close() // once the session is removed, so that no stop interrupts the close
 	p.awaitPlacement()
 	p.minimumVersion.await(p)
 	r, err := p.route(caller.Database)
@@ -114,7 +116,6 @@
 	}
 	p.addSession(s)
 	defer p.removeSession(s)
-	defer caller.Close() // the caller is told before a planned stop is complete
 	defer s.rollbackOpen()
 	if caller.Ready() != nil {
 		return
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -459,6 +459,13 @@
 	// onRead is called with each statement that was read, before the session gets it; it may
 	// be nil and is set before the statement is sent.
 	onRead func(Statement)
+	// closeTime is how long the close of the session takes, and isClosed is true after it.
+	closeTime time.Duration
+	isClosed  atomic.Bool
+	// isClosing is true from the start of the close on, and interruptedClose if an interrupt
+	// came after that.
+	isClosing        atomic.Bool
+	interruptedClose atomic.Bool
 }
 
 var errDisconnected = errors.New("the caller left")
@@ -498,10 +505,17 @@
 				return Statement{}, errDisconnected
 			}
 		},
-		Answer:    func(a Answer) error { c.answers <- a; return nil },
-		Reject:    func(err error) { c.answers <- Answer{Err: err} },
-		Interrupt: func() { c.once.Do(func() { close(c.interrupt) }) },
-		Close:     func() {},
+		Answer: func(a Answer) error { c.answers <- a; return nil },
+		Reject: func(err error) { c.answers <- Answer{Err: err} },
+		Interrupt: func() {
+			c.interruptedClose.Store(c.interruptedClose.Load() || c.isClosing.Load())
+			c.once.Do(func() { close(c.interrupt) })
+		},
+		Close: func() {
+			c.isClosing.Store(true)
+			time.Sleep(c.closeTime)
+			c.isClosed.Store(true)
+		},
 		Relay: func(_ context.Context, to Peer, _ func() time.Duration, _ ConfigVersions) (*Relay, error) {
 			return s.relay(to)
 		},
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -58,6 +58,22 @@
 	is.Equal(sim.fakes[0].last, core.Point{Term: 1, Position: 10})
 }
 
+// TestStopAwaitsClose guards against a process that exits while the close of its last session
+// still tells the other side that nothing more was run, or that interrupts this close.
+func TestStopAwaitsClose(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	c := sim.openRelayed("a", "newest")
+	is.NoErr(c.send(Statement{ID: "1", Kind: KindRead}).Err)
+	c.closeTime = 500 * time.Millisecond
+	close(sim.stop)
+	is.NoErr(receive(t, sim.done, "end of the instance"))
+	is.True(c.isClosed.Load()) // the session was closed before the instance ended
+	is.True(!c.interruptedClose.Load())
+}
+
 // TestStopDuringBegin guards against cutting a transaction between two statements because its
 // session was told to stop at the moment when its BEGIN had been read.
 func TestStopDuringBegin(t *testing.T) {
