Answer the statements that still run when a planned stop ends

Callers saw their connection close without an answer to a statement that the instance had read, because the process exits 700 ms before the kill (after 5.3 s of a grace period of 6 s) whatever still runs. That is a statement whose route allows more than the time that is left: one that waits for a primary or for a majority, or whose endpoint does not answer.

Such a statement now gets code 3001, which holds whatever ran, right before the process exits, and its session is closed, which rolls back its transaction. A lock makes sure that either the session or the stop answers. Sessions that another instance serves are not part of this.

TestStopAnswersRunningStatements, a write that the primary leaves unanswered beyond the exit, failed before ("not true: c.isClosed.Load()", with no answer) and passes now. The simulated endpoints have a field silent for it.

--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,8 @@
 	exitMargin = 700 * time.Millisecond
 	// drainPollInterval is the time between two checks of the sessions during a stop.
 	drainPollInterval = 50 * time.Millisecond
+	// giveUpTimeout bounds how long the last answers may take to be sent.
+	giveUpTimeout = 200 * time.Millisecond
 )
 
 // drainer runs a planned stop.
@@ -30,7 +33,8 @@
 func (d *drainer) refusesTransactions() bool { return d.noTransactions.Load() }
 
 // run waits for the stop and carries it out: idle sessions end, statements that were
-// read are answered, and transactions get half of the grace period.
+// read are answered, the last ones with an unknown outcome, and transactions get half of the
+// grace period.
 func (d *drainer) run(ctx context.Context, stop <-chan struct{}, end func()) {
 	select {
 	case <-stop:
@@ -59,10 +63,30 @@
 		time.Sleep(drainPollInterval)
 	}
 	p.event(core.EventDraining).WithField("sessions", p.sessionCount()).Info("drain ended")
+	p.giveUpStatements()
 	p.logTraffic()
 	end()
 }
 
+// giveUpStatements answers the statements that still run when the process has to exit.
+func (p *Proxy) giveUpStatements() {
+	var running sync.WaitGroup
+	p.mu.Lock()
+	for s := range p.sessions {
+		running.Go(s.giveUp)
+	}
+	p.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(giveUpTimeout):
+	}
+}
+
 // announceLeaving tells the other instances that this one is no home instance any more.
 func (p *Proxy) announceLeaving(ctx context.Context) {
 	if err := p.dependencies.Membership.Leave(ctx); err != nil && ctx.Err() == nil {
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,11 @@
 	keyWithdrawnAt atomic.Int64
 	// relay is set if another instance serves the session.
 	relay *Relay
+
+	mu sync.Mutex
+	// unanswered is true from the reading of a statement until its answer is sent. mu guards
+	// it and is held while the answer is sent.
+	unanswered bool
 }
 
 // ownMark is a commit of the session.
@@ -163,6 +169,7 @@
 			s.recordIdleEnd(timeout, err)
 			return
 		}
+		s.setUnanswered()
 		arrived := s.proxy.now().Add(-st.Held)
 		st.Held += s.proxy.minimumVersion.await(s.proxy)
 		a, ok := s.answerOrContain(st, arrived)
@@ -171,7 +178,7 @@
 			s.lastRefusalAt = s.proxy.now()
 		}
 		s.proxy.recordStatement(s, st, a, arrived)
-		if s.caller.Answer(a) != nil {
+		if s.reply(a) != nil {
 			return
 		}
 		if !ok {
@@ -185,6 +192,33 @@
 	}
 }
 
+func (s *session) setUnanswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered = true
+}
+
+var errAnswered = errors.New("proxy: no statement awaits an answer")
+
+// reply sends the answer to the statement that was read last, once.
+func (s *session) reply(a Answer) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.unanswered {
+		return errAnswered
+	}
+	s.unanswered = false
+	return s.caller.Answer(a)
+}
+
+// giveUp answers the statement that still runs, if there is one, because the process exits,
+// which also rolls back a transaction.
+func (s *session) giveUp() {
+	if s.reply(Answer{Err: core.NewError(core.CodeOutcomeUnknown, "the instance stopped before the statement ended"), State: StateIdle}) == nil {
+		s.caller.Close()
+	}
+}
+
 // isBetterServedElsewhere reports whether the session should end after a refused statement:
 // the platform forwards a new connection, but never an open one, to an instance that
 // reaches the groups.
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -98,6 +98,8 @@
 		f.notApplying = on
 	case "garbled":
 		f.garbled = on
+	case "silent":
+		f.silent = on
 	case "lose":
 		f.loseAnswer = on
 	case "fault":
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -74,6 +74,26 @@
 	is.True(!c.interruptedClose.Load())
 }
 
+// TestStopAnswersRunningStatements guards against a process that exits, at the end of a planned
+// stop, while a statement that was read has no answer: here a write that the primary leaves
+// unanswered.
+func TestStopAnswersRunningStatements(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.proxy.settings.GracePeriod = 2 * time.Second
+	sim.startAndWait()
+	sim.setField(sim.find("p"), "silent", "yes")
+	c := sim.open("a", "newest")
+	c.statements <- Statement{ID: "1", Kind: KindWrite}
+	close(sim.stop)
+	is.NoErr(receive(t, sim.done, "end of the instance"))
+	is.True(c.isClosed.Load()) // the session was closed before the instance ended
+	is.Equal(describe(c.lastAnswer()), "3001 idle")
+	receive(t, c.ended, "end of the session")
+	is.Equal(c.lastAnswer().Err, errDisconnected) // there is one answer
+}
+
 // TestStopDuringBegin guards against cutting a transaction between two statements because its
 // session was told to stop at the moment when its BEGIN had been read.
 func TestStopDuringBegin(t *testing.T) {
