Keep a statement within its timeout over all its steps

Callers got answers up to a whole timeout after the timeout of their route, and where another instance relays the session it stops waiting 1 s after the timeout, so that those statements got no answer: a statement that waited for a failover and was then sent to a primary that does not answer, a statement behind a slow setup of its connection, and the first statement of a transaction whose primary is not confirmed. Each step was given the time that was left before the steps ahead of it waited.

The time is now read anew for each step, and a statement with none left is refused before it is sent. Also bounded by it, from reading: the wait of a read for samples and, in a read-only transaction, for a replica to catch up. What can still come on top is the wait for a token of a limit (150 ms) and busyRetryDelay (15 ms) for a step that begins at the timeout.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -42,10 +42,12 @@
 	setup := c.setup(s, &st)
 	s.proxy.counts.ownStatements.Inc(int64(len(setup)))
 	if !pipelineSetup && len(setup) > 0 {
+		deadline := s.proxy.now().Add(timeout)
 		if err := s.runSetup(c, timeout, setup); err != nil {
 			return Answer{}, err
 		}
 		setup = nil
+		timeout = max(deadline.Sub(s.proxy.now()), busyRetryDelay)
 	}
 	sentAt := s.proxy.now()
 	overdue := c.endpoint.watchOverdue(sentAt)
--- a/proxy/limits_session.go
+++ b/proxy/limits_session.go
@@ -52,7 +52,11 @@
 
 // acquire waits for a connection to an endpoint and spends the token of the operation that
 // is sent there. Its error is always a *core.Error, and then nothing was sent.
-func (s *session) acquire(e *endpoint, r Route, arrived time.Time, remaining time.Duration) (*endpointConn, error) {
+func (s *session) acquire(e *endpoint, r Route, arrived time.Time) (*endpointConn, error) {
+	remaining := s.remaining(r, arrived)
+	if remaining <= 0 {
+		return nil, core.NewError(core.CodeOverloaded, "the statement timed out before it was sent to %s", e.info.Name).WithRetry(defaultRetryAfter)
+	}
 	c, err := e.acquire(s.connectionRequest(e, r, arrived, remaining))
 	if err != nil {
 		return nil, err
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -33,11 +33,10 @@
 	tried := map[core.Endpoint]bool{}
 	var lastErr error
 	for range maxReadAttempts {
-		remaining := r.Timeout - s.proxy.now().Sub(arrived)
-		if remaining <= 0 {
+		if s.remaining(r, arrived) <= 0 {
 			break
 		}
-		a, e, err := s.readAttempt(st, r, g, arrived, remaining, tried)
+		a, e, err := s.readAttempt(st, r, g, arrived, tried)
 		if err == nil {
 			return a
 		}
@@ -81,25 +80,25 @@
 
 // readAttempt sends a read to one endpoint and returns its name, empty if none can
 // serve it.
-func (s *session) readAttempt(st Statement, r Route, g *group, arrived time.Time, remaining time.Duration, tried map[core.Endpoint]bool) (Answer, core.Endpoint, error) {
+func (s *session) readAttempt(st Statement, r Route, g *group, arrived time.Time, tried map[core.Endpoint]bool) (Answer, core.Endpoint, error) {
 	if r.Freshness == FreshnessNewest {
-		return s.readNewest(st, r, g, arrived, remaining)
+		return s.readNewest(st, r, g, arrived)
 	}
 	required, err := s.requirement(r, g, arrived)
 	if err != nil {
 		return Answer{}, "", err
 	}
-	e, err := s.chooseEndpoint(g, required, tried, min(remaining, r.TargetTime))
+	e, err := s.chooseEndpoint(g, required, tried, min(s.remaining(r, arrived), r.TargetTime))
 	if err != nil {
 		return Answer{}, "", err
 	}
-	c, err := s.acquire(e, r, arrived, remaining)
+	c, err := s.acquire(e, r, arrived)
 	if err != nil {
 		return Answer{}, e.info.Name, err
 	}
 	st.After, st.AfterAt = required.Point, required.ReachedAt
 	abandon := e.abandonUnanswered(c.conn, s.proxy.now())
-	a, err := s.exchange(c, min(remaining, readAttemptTimeout), st, true)
+	a, err := s.exchange(c, min(s.exchangeTimeout(r, arrived), readAttemptTimeout), st, true)
 	abandon.Stop()
 	c.release(err == nil)
 	if err == nil {
@@ -121,7 +120,7 @@
 	}
 	if !find(g.state.Load()) {
 		g.addDemand(failover.Demand{AsOf: arrived})
-		if g.lost.Load() || !g.awaitState(freshnessTimeout, find) {
+		if g.lost.Load() || !g.awaitState(min(s.remaining(r, arrived), freshnessTimeout), find) {
 			return required, core.NewError(core.CodeNoFreshReplica, "too few endpoints of %s report to determine their freshness", g.name).WithRetry(defaultRetryAfter)
 		}
 	}
@@ -180,17 +179,17 @@
 // readNewest runs a read that covers everything acknowledged before it arrived. It
 // runs on the primary and waits for confirmation that the primary had not been
 // replaced by then.
-func (s *session) readNewest(st Statement, r Route, g *group, arrived time.Time, remaining time.Duration) (Answer, core.Endpoint, error) {
+func (s *session) readNewest(st Statement, r Route, g *group, arrived time.Time) (Answer, core.Endpoint, error) {
 	e, term, err := s.awaitPrimary(g, arrived, r, (*groupState).isServing)
 	if err != nil {
 		return Answer{}, "", err
 	}
 	g.addDemand(failover.Demand{AsOf: arrived})
-	c, err := s.acquire(e, r, arrived, remaining)
+	c, err := s.acquire(e, r, arrived)
 	if err != nil {
 		return Answer{}, "", err
 	}
-	a, err := s.exchange(c, remaining, st, true)
+	a, err := s.exchange(c, s.exchangeTimeout(r, arrived), st, true)
 	c.release(err == nil)
 	if err == nil {
 		err = a.Err
@@ -199,8 +198,7 @@
 	if err != nil {
 		return Answer{}, e.info.Name, err
 	}
-	remaining = max(r.Timeout-s.proxy.now().Sub(arrived), busyRetryDelay)
-	if v := g.awaitVerdict(remaining, arrived, term, core.Point{Term: term}); v != failover.VerdictConfirmed {
+	if v := g.awaitVerdict(s.exchangeTimeout(r, arrived), arrived, term, core.Point{Term: term}); v != failover.VerdictConfirmed {
 		return Answer{}, e.info.Name, core.NewError(core.CodeNoPrimary, "%s could not be confirmed as the primary", e.info.Name).WithRetry(defaultRetryAfter)
 	}
 	a.State, a.Point = StateIdle, core.Point{}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -273,6 +273,18 @@
 // retry.
 const retryWindow = time.Second
 
+// remaining returns how much of its timeout a statement has left. It is read anew for each
+// step, because the steps before may have waited.
+func (s *session) remaining(r Route, arrived time.Time) time.Duration {
+	return r.Timeout - s.proxy.now().Sub(arrived)
+}
+
+// exchangeTimeout returns how long an endpoint may take to answer a statement that is sent
+// there now.
+func (s *session) exchangeTimeout(r Route, arrived time.Time) time.Duration {
+	return max(s.remaining(r, arrived), busyRetryDelay)
+}
+
 // queuePriority returns the priority of the session's next request for a connection.
 // The route's priority comes first. At equal priority retries come last: they are
 // already late, and under overload serving them first would serve fewer callers in
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -50,9 +50,7 @@
 		s.setField(s.find(core.Endpoint(f[1])), f[2], f[3])
 		return strings.Join(f[1:], " ")
 	case "store":
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.storeDown = f[1] == "down"
+		s.setStoreDown(f[1] == "down")
 		return "store " + f[1]
 	case "restore": // restore VALUE: the store comes back with this lease from a copy
 		s.restoreStore(strings.Join(f[1:], " "))
@@ -98,8 +96,8 @@
 		f.notApplying = on
 	case "garbled":
 		f.garbled = on
-	case "silent":
-		f.silent = on
+	case "delay":
+		f.delay, _ = time.ParseDuration(value)
 	case "lose":
 		f.loseAnswer = on
 	case "fault":
@@ -107,6 +105,12 @@
 	}
 }
 
+func (s *simulation) setStoreDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeDown = down
+}
+
 func (s *simulation) configure(f []string) {
 	version, _ := strconv.ParseUint(f[0], 10, 64)
 	c := testConfig(version)
@@ -263,3 +267,58 @@
 	})
 	is.Equal(open, pooled)
 }
+
+// TestStatementsKeepTimeout guards against answers that come long after the timeout of the route,
+// at which another instance that relays the session gives up: each step of a statement may take
+// only what the steps before left.
+func TestStatementsKeepTimeout(t *testing.T) {
+	t.Parallel()
+	const timeout = 1500 * time.Millisecond
+	const margin = 400 * time.Millisecond
+	start := func(t *testing.T) (*simulation, *testCaller) {
+		t.Parallel()
+		sim := newSimulation(t)
+		sim.startAndWait()
+		config := testConfig(2)
+		for d, r := range config.Routes {
+			r.Timeout, r.TargetTime = timeout, timeout
+			config.Routes[d] = r
+		}
+		sim.offer(config)
+		return sim, sim.open("a", "newest")
+	}
+	check := func(t *testing.T, c *testCaller, st Statement, want string) {
+		t.Helper()
+		is := is.New(t)
+		sentAt := time.Now()
+		is.Equal(describe(c.send(st)), want)
+		took := time.Since(sentAt)
+		t.Logf("took %s", took)
+		is.True(took < timeout+margin)
+	}
+	t.Run("failover and write", func(t *testing.T) {
+		sim, c := start(t)
+		sim.setField(sim.find("r"), "delay", "1m")
+		sim.setField(sim.find("s"), "delay", "1m")
+		sim.setField(sim.find("p"), "dark", "yes")
+		sim.setStoreDown(true) // no promotion until it is back
+		g := sim.proxy.placement.Load().groups["g"]
+		sim.waitFor(func() bool { return !g.state.Load().isOpen() })
+		time.AfterFunc(timeout/2, func() { sim.setStoreDown(false) })
+		check(t, c, Statement{ID: "1", Kind: KindWrite}, "3001 idle")
+	})
+	t.Run("setup and write", func(t *testing.T) {
+		sim, c := start(t)
+		c.send(Statement{ID: "1", Kind: KindSet, Name: "v", Value: "1"})
+		sim.setField(sim.find("p"), "delay", "1200ms")
+		check(t, c, Statement{ID: "2", Kind: KindWrite}, "3001 idle")
+	})
+	t.Run("statement and confirmation", func(t *testing.T) {
+		sim, c := start(t)
+		c.send(Statement{ID: "1", Kind: KindBegin})
+		sim.setField(sim.find("p"), "delay", "1200ms")
+		sim.setField(sim.find("r"), "dark", "yes")
+		sim.setField(sim.find("s"), "dark", "yes")
+		check(t, c, Statement{ID: "2", Kind: KindRead}, "2008, come back later failed")
+	})
+}
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -38,8 +38,8 @@
 	garbled bool
 	// loseAnswer drops the answer to the next statement of a caller, which is executed.
 	loseAnswer bool
-	// silent leaves callers' statements unanswered until they time out.
-	silent bool
+	// delay is how long statements other than BEGIN take.
+	delay time.Duration
 	// fault is the answer to the next statement of a caller, which is not executed.
 	fault ErrorKind
 	// executed lists the IDs of callers' statements that were executed, in order.
@@ -349,11 +349,13 @@
 	}
 	c.sim.mu.Lock()
 	defer c.sim.mu.Unlock()
-	if c.fake.silent && statements[len(statements)-1].ID != "" {
+	if delay := c.fake.delay; delay > 0 && statements[0].Kind != KindBegin {
 		c.sim.mu.Unlock()
-		time.Sleep(timeout)
+		time.Sleep(min(delay, timeout))
 		c.sim.mu.Lock()
-		return nil, errTimeout
+		if delay > timeout {
+			return nil, errTimeout
+		}
 	}
 	if c.fake.garbled {
 		c.fake.garbled = false
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -83,7 +83,7 @@
 	sim := newSimulation(t)
 	sim.proxy.settings.GracePeriod = 2 * time.Second
 	sim.startAndWait()
-	sim.setField(sim.find("p"), "silent", "yes")
+	sim.setField(sim.find("p"), "delay", "1m")
 	c := sim.open("a", "newest")
 	c.statements <- Statement{ID: "1", Kind: KindWrite}
 	close(sim.stop)
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -71,9 +71,8 @@
 	}
 	tx.wrote = tx.wrote || access == KindWrite
 	for range maxWriteAttempts {
-		remaining := max(tx.route.Timeout-s.proxy.now().Sub(arrived), busyRetryDelay)
 		tx.conn.beginStatement()
-		a, err := s.exchange(tx.conn, remaining, st, access == KindRead)
+		a, err := s.exchange(tx.conn, s.exchangeTimeout(tx.route, arrived), st, access == KindRead)
 		tx.conn.endStatement()
 		if err != nil {
 			s.closeTransactionConn()
@@ -86,7 +85,7 @@
 		if a.Err != nil {
 			return s.fail(transactionError(a.Err))
 		}
-		if err := s.confirmPrimary(remaining); err != nil {
+		if err := s.confirmPrimary(arrived); err != nil {
 			return s.fail(err)
 		}
 		a.State, a.Point = StateTransaction, core.Point{}
@@ -133,8 +132,7 @@
 // it returns its name with the error.
 func (s *session) openAttempt(arrived time.Time, tried map[core.Endpoint]bool) (core.Endpoint, error) {
 	tx := s.tx
-	remaining := tx.route.Timeout - s.proxy.now().Sub(arrived)
-	if remaining <= 0 {
+	if s.remaining(tx.route, arrived) <= 0 {
 		return "", core.NewError(core.CodeOverloaded, "the statement timed out before an endpoint opened the transaction").WithRetry(defaultRetryAfter)
 	}
 	begin := Statement{Kind: KindBegin, ReadOnly: tx.readOnly}
@@ -142,12 +140,12 @@
 	if err != nil {
 		return "", err
 	}
-	c, err := s.acquire(e, tx.route, arrived, remaining)
+	c, err := s.acquire(e, tx.route, arrived)
 	if err != nil {
 		return e.info.Name, err
 	}
 	sentAt := s.proxy.now()
-	a, err := s.exchange(c, min(remaining, readAttemptTimeout), begin, false)
+	a, err := s.exchange(c, min(s.exchangeTimeout(tx.route, arrived), readAttemptTimeout), begin, false)
 	if err == nil {
 		err = a.Err
 		if err != nil {
@@ -177,7 +175,7 @@
 			return nil, err
 		}
 		begin.After, begin.AfterAt = required.Point, required.ReachedAt
-		return s.chooseEndpoint(tx.group, required, tried, tx.route.TargetTime)
+		return s.chooseEndpoint(tx.group, required, tried, min(s.remaining(tx.route, arrived), tx.route.TargetTime))
 	}
 	usable := (*groupState).isOpen
 	if tx.readOnly {
@@ -191,7 +189,7 @@
 // confirmPrimary waits, for the first answer of a transaction on the primary, for
 // confirmation that the primary had not been replaced when the transaction's first
 // statement arrived. A bounded read needs this only as of its staleness bound.
-func (s *session) confirmPrimary(timeout time.Duration) error {
+func (s *session) confirmPrimary(arrived time.Time) error {
 	tx := s.tx
 	if tx.term == 0 || tx.confirmed {
 		return nil
@@ -201,7 +199,7 @@
 		asOf = asOf.Add(-tx.route.Staleness)
 	}
 	tx.group.addDemand(failover.Demand{AsOf: asOf})
-	if v := tx.group.awaitVerdict(timeout, asOf, tx.term, core.Point{Term: tx.term}); v != failover.VerdictConfirmed {
+	if v := tx.group.awaitVerdict(s.exchangeTimeout(tx.route, arrived), asOf, tx.term, core.Point{Term: tx.term}); v != failover.VerdictConfirmed {
 		return core.NewError(core.CodeTransactionLost, "%s could not be confirmed as the primary", tx.conn.endpoint.info.Name).WithRetry(defaultRetryAfter)
 	}
 	tx.confirmed = true
@@ -229,9 +227,8 @@
 		}
 	}
 	c := commit{endpoint: tx.conn.endpoint, sentAt: s.proxy.now(), term: tx.term, route: tx.route, group: tx.group}
-	remaining := tx.route.Timeout - c.sentAt.Sub(arrived)
 	tx.conn.beginStatement()
-	a, err := s.exchange(tx.conn, max(remaining, busyRetryDelay), st, false)
+	a, err := s.exchange(tx.conn, s.exchangeTimeout(tx.route, arrived), st, false)
 	if err != nil {
 		s.closeTransactionConn()
 		s.endTransaction(true)
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -54,20 +54,19 @@
 func (s *session) write(st Statement, r Route, g *group, arrived time.Time) Answer {
 	var lastErr error
 	for range maxWriteAttempts {
-		remaining := r.Timeout - s.proxy.now().Sub(arrived)
-		if remaining <= 0 {
+		if s.remaining(r, arrived) <= 0 {
 			break
 		}
 		e, term, err := s.awaitPrimary(g, arrived, r, (*groupState).isOpen)
 		if err != nil {
 			return s.fail(err)
 		}
-		c, err := s.acquire(e, r, arrived, remaining)
+		c, err := s.acquire(e, r, arrived)
 		if err != nil {
 			return s.fail(err)
 		}
 		sentAt := s.proxy.now()
-		a, err := s.exchange(c, remaining, st, false)
+		a, err := s.exchange(c, s.exchangeTimeout(r, arrived), st, false)
 		c.release(err == nil)
 		if err != nil {
 			return s.fail(writeError(err))
@@ -141,8 +140,7 @@
 	at := s.proxy.now()
 	c.group.groupControl.postPrimaryCheck(c.endpoint, primaryCheck{sentAt: c.sentAt, upSince: a.upSince, point: a.Point})
 	c.group.addDemand(failover.Demand{Point: a.Point})
-	remaining := max(c.route.Timeout-at.Sub(arrived), busyRetryDelay)
-	if v := c.group.awaitVerdict(remaining, time.Time{}, c.term, a.Point); v != failover.VerdictConfirmed {
+	if v := c.group.awaitVerdict(s.exchangeTimeout(c.route, arrived), time.Time{}, c.term, a.Point); v != failover.VerdictConfirmed {
 		return s.fail(core.NewError(core.CodeOutcomeUnknown, "the commit at %s was not seen on a majority in term %d: %s", a.Point, c.term, v))
 	}
 	s.proxy.counts.confirmTime.Update(int64(s.proxy.now().Sub(at)))
