--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -322,3 +322,26 @@
 		check(t, c, Statement{ID: "2", Kind: KindRead}, "2008, come back later failed")
 	})
 }
+
+// TestOpenTransactionKeepsGroup guards against an instance that is no home instance of a group
+// and leaves it during a long transaction, whose commit is then never confirmed.
+func TestOpenTransactionKeepsGroup(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newNonHomeSimulation(t)
+	sim.relay = func(Peer) (*Relay, error) { return nil, errNoHome }
+	sim.startNonHome()
+	c := sim.open("a", "newest")
+	is.NoErr(c.send(Statement{ID: "1", Kind: KindBegin}).Err)
+	is.NoErr(c.send(Statement{ID: "2", Kind: KindWrite}).Err)
+	g := sim.proxy.placement.Load().groups["g"]
+	g.lastUsedAt.Store(sim.proxy.now().Add(-nonHomeRetention).UnixNano()) // the transaction began then
+	is.NoErr(c.send(Statement{ID: "3", Kind: KindWrite}).Err)
+	done := make(chan struct{})
+	sim.proxy.control.post(t.Context(), func(time.Time) {
+		sim.proxy.control.reconcileGroups()
+		close(done)
+	})
+	receive(t, done, "assignment of the groups")
+	is.Equal(describe(c.send(Statement{ID: "4", Kind: KindCommit})), "p at 1.11 map[]; signed by p idle")
+}
