Contain a panic in the rollback of a transaction

All callers of an instance would have lost their sessions, and the statements that were read from them, if the answer to a rollback was one that the program cannot handle: a rollback is sent in a goroutine of its own, in which a panic was not contained and ended the process.

It is now contained there, and the connection is closed. This was found by reading; no such answer of an endpoint is known.

TestPanicInRollback ended the test process before with "panic: garbled answer" and passes now.

--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -345,3 +345,19 @@
 	receive(t, done, "assignment of the groups")
 	is.Equal(describe(c.send(Statement{ID: "4", Kind: KindCommit})), "p at 1.11 map[]; signed by p idle")
 }
+
+// TestPanicInRollback guards against a panic that ends the whole process: a rollback is answered
+// before the endpoint has answered it, in a goroutine of its own.
+func TestPanicInRollback(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	c := sim.open("a", "newest")
+	is.NoErr(c.send(Statement{ID: "1", Kind: KindBegin}).Err)
+	is.NoErr(c.send(Statement{ID: "2", Kind: KindWrite}).Err)
+	sim.setField(sim.find("p"), "garbled", "yes")
+	is.NoErr(c.send(Statement{ID: "3", Kind: KindRollback}).Err)
+	sim.waitFor(func() bool { return sim.proxy.counts.sessionPanics.Count() == 1 })
+	is.NoErr(c.send(Statement{ID: "4", Kind: KindWrite}).Err)
+}
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -292,6 +292,7 @@
 		return
 	}
 	go func() {
+		defer s.proxy.containPanic(func() { c.release(false) })
 		answers, err := c.conn.Exchange(rollbackTimeout, []Statement{{Kind: KindRollback}})
 		c.release(err == nil && answers[0].Err == nil && answers[0].State == StateIdle)
 	}()
