--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,8 @@
 	exitMargin = 700 * time.Millisecond
 	// drainPollInterval is the time between two checks of the sessions during a stop.
 	drainPollInterval = 50 * time.Millisecond
+	// giveUpTimeout bounds how long the last answers may take to be sent.
+	giveUpTimeout = 200 * time.Millisecond
 )
 
 // drainer runs a planned stop.
@@ -30,7 +33,8 @@
 func (d *drainer) refusesTransactions() bool { return d.noTransactions.Load() }
 
 // run waits for the stop and carries it out: idle sessions end, statements that were
-// read are answered, and transactions get half of the grace period.
+// read are answered, the last ones with an unknown outcome, and transactions get half of the
+// grace period.
 func (d *drainer) run(ctx context.Context, stop <-chan struct{}, end func()) {
 	select {
 	case <-stop:
@@ -53,16 +57,36 @@
 		if moved {
 			p.endSessions(age >= transactionAge, anySession)
 		}
-		if moved && p.sessionCount() == 0 || age >= exitAge {
+		if moved && p.callers.Load() == 0 || age >= exitAge {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
 	p.event(core.EventDraining).WithField("sessions", p.sessionCount()).Info("drain ended")
+	p.giveUpStatements()
 	p.logTraffic()
 	end()
 }
 
+// giveUpStatements answers the statements that still run when the process has to exit.
+func (p *Proxy) giveUpStatements() {
+	var running sync.WaitGroup
+	p.mu.Lock()
+	for s := range p.sessions {
+		running.Go(s.giveUp)
+	}
+	p.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(giveUpTimeout):
+	}
+}
+
 // announceLeaving tells the other instances that this one is no home instance any more.
 func (p *Proxy) announceLeaving(ctx context.Context) {
 	if err := p.dependencies.Membership.Leave(ctx); err != nil && ctx.Err() == nil {
@@ -84,8 +108,8 @@
 
 func anySession(*session) bool { return true }
 
-// endSessions ends the chosen sessions that are idle, and also those in a transaction if
-// inTransactions is set.
+// endSessions ends the chosen sessions that are idle, and others after their transaction or, if
+// inTransactions is set, after their statement.
 func (p *Proxy) endSessions(inTransactions bool, isChosen func(*session) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -96,17 +120,17 @@
 	}
 }
 
-// stop ends the session between two statements; inside a transaction only if
-// inTransaction is set.
+// stop ends the session between two statements. An open transaction goes on until its end
+// unless inTransaction is set.
 func (s *session) stop(inTransaction bool) {
 	if s.relay != nil {
 		s.relay.Stop(inTransaction)
 		return
 	}
+	s.stopping.Store(true)
 	if s.inTransaction.Load() && !inTransaction {
 		return
 	}
-	s.stopping.Store(true)
 	s.caller.Interrupt()
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -32,6 +32,9 @@
 func (s *session) exchange(c *endpointConn, timeout time.Duration, st Statement, pipelineSetup bool) (Answer, error) {
 	defer func() {
 		if r := recover(); r != nil {
+			if s.tx != nil && s.tx.conn == c {
+				s.tx.conn = nil
+			}
 			c.release(false)
 			panic(r)
 		}
@@ -39,10 +42,12 @@
 	setup := c.setup(s, &st)
 	s.proxy.counts.ownStatements.Inc(int64(len(setup)))
 	if !pipelineSetup && len(setup) > 0 {
+		deadline := s.proxy.now().Add(timeout)
 		if err := s.runSetup(c, timeout, setup); err != nil {
 			return Answer{}, err
 		}
 		setup = nil
+		timeout = max(deadline.Sub(s.proxy.now()), busyRetryDelay)
 	}
 	sentAt := s.proxy.now()
 	overdue := c.endpoint.watchOverdue(sentAt)
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,11 @@
 	keyWithdrawnAt atomic.Int64
 	// relay is set if another instance serves the session.
 	relay *Relay
+
+	mu sync.Mutex
+	// unanswered is true from the reading of a statement until its answer is sent. mu guards
+	// it and is held while the answer is sent.
+	unanswered bool
 }
 
 // ownMark is a commit of the session.
@@ -68,7 +74,7 @@
 }
 
 // containPanic ends the session of the goroutine that panicked, so that one message which the
-// code cannot handle does not end all others.
+// code cannot handle does not end all others. It must be deferred itself.
 func (p *Proxy) containPanic(end func()) {
 	r := recover()
 	if r == nil {
@@ -81,7 +87,9 @@
 
 // serveCaller serves or relays a started session until it ends.
 func (p *Proxy) serveCaller(caller *Caller) {
-	defer caller.Close()
+	p.callers.Add(1)
+	defer p.callers.Add(-1)
+	defer caller.Close() // once the session is removed, so that no stop interrupts the close
 	p.awaitPlacement()
 	p.minimumVersion.await(p)
 	r, err := p.route(caller.Database)
@@ -114,7 +122,6 @@
 	}
 	p.addSession(s)
 	defer p.removeSession(s)
-	defer caller.Close() // the caller is told before a planned stop is complete
 	defer s.rollbackOpen()
 	if caller.Ready() != nil {
 		return
@@ -162,15 +169,21 @@
 			s.recordIdleEnd(timeout, err)
 			return
 		}
+		s.setUnanswered()
 		arrived := s.proxy.now().Add(-st.Held)
 		st.Held += s.proxy.minimumVersion.await(s.proxy)
-		a := s.answer(st, arrived)
+		a, ok := s.answerOrContain(st, arrived)
 		s.returnToken()
 		if a.Err != nil {
 			s.lastRefusalAt = s.proxy.now()
 		}
 		s.proxy.recordStatement(s, st, a, arrived)
-		if s.caller.Answer(a) != nil {
+		if s.reply(a) != nil {
+			return
+		}
+		if !ok {
+			// An instance that relays the session learns that its next statement is not run.
+			s.caller.Interrupt()
 			return
 		}
 		if s.isBetterServedElsewhere(a.Err) {
@@ -179,6 +192,33 @@
 	}
 }
 
+func (s *session) setUnanswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered = true
+}
+
+var errAnswered = errors.New("proxy: no statement awaits an answer")
+
+// reply sends the answer to the statement that was read last, once.
+func (s *session) reply(a Answer) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.unanswered {
+		return errAnswered
+	}
+	s.unanswered = false
+	return s.caller.Answer(a)
+}
+
+// giveUp answers the statement that still runs, if there is one, because the process exits,
+// which also rolls back a transaction.
+func (s *session) giveUp() {
+	if s.reply(Answer{Err: core.NewError(core.CodeOutcomeUnknown, "the instance stopped before the statement ended"), State: StateIdle}) == nil {
+		s.caller.Close()
+	}
+}
+
 // isBetterServedElsewhere reports whether the session should end after a refused statement:
 // the platform forwards a new connection, but never an open one, to an instance that
 // reaches the groups.
@@ -186,6 +226,16 @@
 	return refused != nil && s.tx == nil && !s.caller.Relayed && s.proxy.isolated.Load()
 }
 
+// answerOrContain runs one statement. If that panics, the transaction ends, the outcome of the
+// statement is unknown and ok is false.
+func (s *session) answerOrContain(st Statement, arrived time.Time) (a Answer, ok bool) {
+	defer s.proxy.containPanic(func() {
+		s.rollbackOpen()
+		a = s.fail(core.NewError(core.CodeOutcomeUnknown, "a fault of the instance interrupted the statement"))
+	})
+	return s.answer(st, arrived), true
+}
+
 // answer runs one statement.
 func (s *session) answer(st Statement, arrived time.Time) Answer {
 	if s.tx != nil && s.tx.failed && st.Kind != KindCommit && st.Kind != KindRollback {
@@ -223,6 +273,18 @@
 // retry.
 const retryWindow = time.Second
 
+// remaining returns how much of its timeout a statement has left. It is read anew for each
+// step, because the steps before may have waited.
+func (s *session) remaining(r Route, arrived time.Time) time.Duration {
+	return r.Timeout - s.proxy.now().Sub(arrived)
+}
+
+// exchangeTimeout returns how long an endpoint may take to answer a statement that is sent
+// there now.
+func (s *session) exchangeTimeout(r Route, arrived time.Time) time.Duration {
+	return max(s.remaining(r, arrived), busyRetryDelay)
+}
+
 // queuePriority returns the priority of the session's next request for a connection.
 // The route's priority comes first. At equal priority retries come last: they are
 // already late, and under overload serving them first would serve fewer callers in
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -58,6 +58,70 @@
 	is.Equal(sim.fakes[0].last, core.Point{Term: 1, Position: 10})
 }
 
+// TestStopAwaitsClose guards against a process that exits while the close of its last session
+// still tells the other side that nothing more was run, or that interrupts this close.
+func TestStopAwaitsClose(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	c := sim.openRelayed("a", "newest")
+	is.NoErr(c.send(Statement{ID: "1", Kind: KindRead}).Err)
+	c.closeTime = 500 * time.Millisecond
+	close(sim.stop)
+	is.NoErr(receive(t, sim.done, "end of the instance"))
+	is.True(c.isClosed.Load()) // the session was closed before the instance ended
+	is.True(!c.interruptedClose.Load())
+}
+
+// TestStopAnswersRunningStatements guards against a process that exits, at the end of a planned
+// stop, while a statement that was read has no answer: here a write that the primary leaves
+// unanswered.
+func TestStopAnswersRunningStatements(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.proxy.settings.GracePeriod = 2 * time.Second
+	sim.startAndWait()
+	sim.setField(sim.find("p"), "delay", "1m")
+	c := sim.open("a", "newest")
+	c.statements <- Statement{ID: "1", Kind: KindWrite}
+	close(sim.stop)
+	is.NoErr(receive(t, sim.done, "end of the instance"))
+	is.True(c.isClosed.Load()) // the session was closed before the instance ended
+	is.Equal(describe(c.lastAnswer()), "3001 idle")
+	receive(t, c.ended, "end of the session")
+	is.Equal(c.lastAnswer().Err, errDisconnected) // there is one answer
+}
+
+// TestStopDuringBegin guards against cutting a transaction between two statements because its
+// session was told to stop at the moment when its BEGIN had been read.
+func TestStopDuringBegin(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	c := sim.open("a", "newest")
+	c.onRead = func(Statement) { sim.proxy.endSessions(false, anySession) }
+	is.Equal(describe(c.send(Statement{ID: "1", Kind: KindBegin})), "2004, come back later idle")
+	receive(t, c.ended, "end of the session")
+}
+
+// TestStoppedSessionEndsAfterTransaction checks that a session that is told to stop during a
+// transaction ends right after it.
+func TestStoppedSessionEndsAfterTransaction(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	c := sim.open("a", "newest")
+	is.NoErr(c.send(Statement{ID: "1", Kind: KindBegin}).Err)
+	sim.proxy.endSessions(false, anySession)
+	is.NoErr(c.send(Statement{ID: "2", Kind: KindWrite}).Err)
+	is.Equal(describe(c.send(Statement{ID: "3", Kind: KindCommit})), "p at 1.11 map[]; signed by p idle")
+	receive(t, c.ended, "end of the session")
+}
+
 // TestIsolatedInstanceIsNotReady checks that the instance is not ready and ends idle
 // sessions while no endpoint answers.
 func TestIsolatedInstanceIsNotReady(t *testing.T) {
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -47,14 +47,20 @@
 	if s.proxy.drainer.refusesTransactions() {
 		return s.fail(core.NewError(core.CodeDraining, "the instance is shutting down").WithRetry(defaultRetryAfter))
 	}
-	s.tx = &transaction{readOnly: st.ReadOnly, beganAt: arrived, route: r, group: g}
+	// Either stop sees the transaction, or this sees that the session stops.
 	s.inTransaction.Store(true)
+	if s.stopping.Load() {
+		s.inTransaction.Store(false)
+		return s.fail(core.NewError(core.CodeDraining, "the session ends; no transaction began").WithRetry(defaultRetryAfter))
+	}
+	s.tx = &transaction{readOnly: st.ReadOnly, beganAt: arrived, route: r, group: g}
 	return s.done()
 }
 
 // executeInTransaction runs a statement in the open transaction.
 func (s *session) executeInTransaction(st Statement, access Kind, arrived time.Time) Answer {
 	tx := s.tx
+	tx.group.lastUsedAt.Store(s.proxy.now().UnixNano())
 	if err := s.checkTransactionKey(); err != nil {
 		s.closeTransactionConn()
 		return s.fail(err)
@@ -66,9 +72,8 @@
 	}
 	tx.wrote = tx.wrote || access == KindWrite
 	for range maxWriteAttempts {
-		remaining := max(tx.route.Timeout-s.proxy.now().Sub(arrived), busyRetryDelay)
 		tx.conn.beginStatement()
-		a, err := s.exchange(tx.conn, remaining, st, access == KindRead)
+		a, err := s.exchange(tx.conn, s.exchangeTimeout(tx.route, arrived), st, access == KindRead)
 		tx.conn.endStatement()
 		if err != nil {
 			s.closeTransactionConn()
@@ -81,7 +86,7 @@
 		if a.Err != nil {
 			return s.fail(transactionError(a.Err))
 		}
-		if err := s.confirmPrimary(remaining); err != nil {
+		if err := s.confirmPrimary(arrived); err != nil {
 			return s.fail(err)
 		}
 		a.State, a.Point = StateTransaction, core.Point{}
@@ -128,8 +133,7 @@
 // it returns its name with the error.
 func (s *session) openAttempt(arrived time.Time, tried map[core.Endpoint]bool) (core.Endpoint, error) {
 	tx := s.tx
-	remaining := tx.route.Timeout - s.proxy.now().Sub(arrived)
-	if remaining <= 0 {
+	if s.remaining(tx.route, arrived) <= 0 {
 		return "", core.NewError(core.CodeOverloaded, "the statement timed out before an endpoint opened the transaction").WithRetry(defaultRetryAfter)
 	}
 	begin := Statement{Kind: KindBegin, ReadOnly: tx.readOnly}
@@ -137,12 +141,12 @@
 	if err != nil {
 		return "", err
 	}
-	c, err := s.acquire(e, tx.route, arrived, remaining)
+	c, err := s.acquire(e, tx.route, arrived)
 	if err != nil {
 		return e.info.Name, err
 	}
 	sentAt := s.proxy.now()
-	a, err := s.exchange(c, min(remaining, readAttemptTimeout), begin, false)
+	a, err := s.exchange(c, min(s.exchangeTimeout(tx.route, arrived), readAttemptTimeout), begin, false)
 	if err == nil {
 		err = a.Err
 		if err != nil {
@@ -172,7 +176,7 @@
 			return nil, err
 		}
 		begin.After, begin.AfterAt = required.Point, required.ReachedAt
-		return s.chooseEndpoint(tx.group, required, tried, tx.route.TargetTime)
+		return s.chooseEndpoint(tx.group, required, tried, min(s.remaining(tx.route, arrived), tx.route.TargetTime))
 	}
 	usable := (*groupState).isOpen
 	if tx.readOnly {
@@ -186,7 +190,7 @@
 // confirmPrimary waits, for the first answer of a transaction on the primary, for
 // confirmation that the primary had not been replaced when the transaction's first
 // statement arrived. A bounded read needs this only as of its staleness bound.
-func (s *session) confirmPrimary(timeout time.Duration) error {
+func (s *session) confirmPrimary(arrived time.Time) error {
 	tx := s.tx
 	if tx.term == 0 || tx.confirmed {
 		return nil
@@ -196,7 +200,7 @@
 		asOf = asOf.Add(-tx.route.Staleness)
 	}
 	tx.group.addDemand(failover.Demand{AsOf: asOf})
-	if v := tx.group.awaitVerdict(timeout, asOf, tx.term, core.Point{Term: tx.term}); v != failover.VerdictConfirmed {
+	if v := tx.group.awaitVerdict(s.exchangeTimeout(tx.route, arrived), asOf, tx.term, core.Point{Term: tx.term}); v != failover.VerdictConfirmed {
 		return core.NewError(core.CodeTransactionLost, "%s could not be confirmed as the primary", tx.conn.endpoint.info.Name).WithRetry(defaultRetryAfter)
 	}
 	tx.confirmed = true
@@ -224,9 +228,8 @@
 		}
 	}
 	c := commit{endpoint: tx.conn.endpoint, sentAt: s.proxy.now(), term: tx.term, route: tx.route, group: tx.group}
-	remaining := tx.route.Timeout - c.sentAt.Sub(arrived)
 	tx.conn.beginStatement()
-	a, err := s.exchange(tx.conn, max(remaining, busyRetryDelay), st, false)
+	a, err := s.exchange(tx.conn, s.exchangeTimeout(tx.route, arrived), st, false)
 	if err != nil {
 		s.closeTransactionConn()
 		s.endTransaction(true)
@@ -289,6 +292,7 @@
 		return
 	}
 	go func() {
+		defer s.proxy.containPanic(func() { c.release(false) })
 		answers, err := c.conn.Exchange(rollbackTimeout, []Statement{{Kind: KindRollback}})
 		c.release(err == nil && answers[0].Err == nil && answers[0].State == StateIdle)
 	}()
