Answer relayed statements at the end of a planned stop

Callers could see a statement end without an answer when the instance that relayed it exited at the end of its grace period before the home instance had answered. Cause: only sessions that the instance serves itself got a last answer. Change: a relayed session is given up like the others: its connection to the home instance closes, and the statement gets the answer of a home instance that is gone.

--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -62,6 +62,9 @@
 	// Stop ends the session between two statements; inside a transaction only if
 	// inTransaction is set.
 	Stop func(inTransaction bool)
+	// GiveUp ends the session at once. It returns when a statement without an answer has got
+	// one that says what is known.
+	GiveUp func()
 }
 
 // RelayCause is the reason why a relayed session ended.
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -73,8 +73,9 @@
 	sim.relay = func(to Peer) (*Relay, error) {
 		relayed <- to
 		return &Relay{
-			Run:  func() RelayEnd { <-stopped; return RelayEnd{Cause: RelayStopped} },
-			Stop: func(bool) { once.Do(func() { close(stopped) }) },
+			Run:    func() RelayEnd { <-stopped; return RelayEnd{Cause: RelayStopped} },
+			Stop:   func(bool) { once.Do(func() { close(stopped) }) },
+			GiveUp: func() {},
 		}, nil
 	}
 	sim.startNonHome()
@@ -90,6 +91,29 @@
 	is.NoErr(receive(t, sim.done, "end of the instance"))
 }
 
+// TestStopGivesUpRelays guards against a process that exits, at the end of a planned stop, while
+// a statement that it relayed has no answer.
+func TestStopGivesUpRelays(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newNonHomeSimulation(t)
+	sim.proxy.settings.GracePeriod = 2 * time.Second
+	givenUp := make(chan struct{})
+	sim.relay = func(Peer) (*Relay, error) {
+		return &Relay{
+			Run:    func() RelayEnd { <-givenUp; return RelayEnd{Cause: RelayHomeClosed} },
+			Stop:   func(bool) {}, // a statement is running
+			GiveUp: func() { close(givenUp) },
+		}, nil
+	}
+	sim.startNonHome()
+	sim.open("a", "bounded")
+	sim.waitFor(func() bool { return sim.proxy.sessionCount() == 1 })
+	close(sim.stop)
+	is.NoErr(receive(t, sim.done, "end of the instance"))
+	receive(t, givenUp, "end of the relayed session")
+}
+
 // TestMonitoredGroupIsRelayed checks that an instance which is home of no group relays the
 // sessions of the group that it watches.
 func TestMonitoredGroupIsRelayed(t *testing.T) {
@@ -100,7 +124,7 @@
 	relayed := make(chan Peer, 1)
 	sim.relay = func(to Peer) (*Relay, error) {
 		relayed <- to
-		return &Relay{Run: func() RelayEnd { return RelayEnd{Cause: RelayCallerLeft} }, Stop: func(bool) {}}, nil
+		return &Relay{Run: func() RelayEnd { return RelayEnd{Cause: RelayCallerLeft} }, Stop: func(bool) {}, GiveUp: func() {}}, nil
 	}
 	sim.start()
 	sim.waitFor(func() bool {
@@ -214,7 +238,7 @@
 	relayed := make(chan Peer, 1)
 	sim.relay = func(to Peer) (*Relay, error) {
 		relayed <- to
-		return &Relay{Run: func() RelayEnd { return RelayEnd{Cause: RelayCallerLeft} }, Stop: func(bool) {}}, nil
+		return &Relay{Run: func() RelayEnd { return RelayEnd{Cause: RelayCallerLeft} }, Stop: func(bool) {}, GiveUp: func() {}}, nil
 	}
 	sim.startAndWait()
 	sim.setField(sim.find("r"), "dark", "yes")
@@ -303,7 +327,7 @@
 		case relayed <- struct{}{}:
 		default:
 		}
-		return &Relay{Run: func() RelayEnd { return RelayEnd{Cause: RelayCallerLeft} }, Stop: func(bool) {}}, nil
+		return &Relay{Run: func() RelayEnd { return RelayEnd{Cause: RelayCallerLeft} }, Stop: func(bool) {}, GiveUp: func() {}}, nil
 	}
 	sim.startNonHome()
 	c := sim.open("a", "bounded")
@@ -329,7 +353,7 @@
 	sim.relay = func(to Peer) (*Relay, error) {
 		time.Sleep(time.Duration(delay.Load()))
 		relayed <- to
-		return &Relay{Run: func() RelayEnd { return RelayEnd{Cause: RelayCallerLeft} }, Stop: func(bool) {}}, nil
+		return &Relay{Run: func() RelayEnd { return RelayEnd{Cause: RelayCallerLeft} }, Stop: func(bool) {}, GiveUp: func() {}}, nil
 	}
 	sim.startNonHome()
 	open := func(n int) core.Instance {
