Bound the wait of a statement for configurations in quick succession

Callers waited for their answer for as long as configurations followed each other, if none of them came into force here in between: past the timeout of the statement, and past that of an instance that relayed it. Cause: statements wait until 300 ms after the newest version was announced, and each announcement of a newer one moves that time for those that wait already. Evidence: found in review; announcements every 50 ms for 1 s held a statement back all the while. Change: a statement waits for 300 ms at most, as for the versions that were known when it came.

--- a/proxy/minimum_version.go
+++ b/proxy/minimum_version.go
@@ -54,7 +54,8 @@
 		return 0
 	}
 	startedAt := p.now()
-	for p.configVersion() < m.version.Load() && p.now().UnixNano() < m.waitUntil.Load() {
+	latest := startedAt.Add(minimumVersionTimeout).UnixNano() // versions that come meanwhile extend waitUntil
+	for p.configVersion() < m.version.Load() && p.now().UnixNano() < min(m.waitUntil.Load(), latest) {
 		time.Sleep(pollInterval)
 	}
 	return p.now().Sub(startedAt)
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -188,6 +188,30 @@
 	is.Equal(sim.proxy.newestVersion(), uint64(9))
 }
 
+// TestVersionsInQuickSuccession guards against a statement that waits without a bound while
+// other instances announce one version after another, of which none arrives.
+func TestVersionsInQuickSuccession(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	c := sim.open("a", "bounded")
+	is.NoErr(c.send(Statement{ID: "1", Kind: KindRead}).Err)
+	sim.proxy.observeVersion(5)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for v := uint64(6); v < 26; v++ {
+			time.Sleep(minimumVersionTimeout / 6)
+			sim.proxy.observeVersion(v)
+		}
+	}()
+	startedAt := time.Now()
+	is.NoErr(c.send(Statement{ID: "2", Kind: KindRead}).Err)
+	is.True(time.Since(startedAt) < 2*minimumVersionTimeout)
+	<-done
+}
+
 // TestConfigurationAloneIsNotReady checks that an instance that got a configuration
 // from another instance, but no list of instances or endpoints yet, is not ready and
 // does not report a database as unknown.
