End a relayed session at home if the caller left before it was ready

Home instances kept a session, and the instance a connection to it, of callers that had left while their session was being opened, until the garbage collector closed the connection. Cause: only Run closes the connection to the home instance, and it was not called if the caller could not be told that its session has started. Evidence: found in review. Change: Run is called in any case; it finds that the caller has left. Result: TestCallerLeavesBeforeReady failed (Run not called) and passes.

--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -127,9 +127,7 @@
 	p.addSession(s)
 	defer p.removeSession(s)
 	p.counts.relayed.Inc(1)
-	if caller.Ready() != nil {
-		return
-	}
+	_ = caller.Ready() // Run finds that the caller has left, and ends the session at the home instance
 	end := r.Run()
 	p.counts.relayEnds[end.Cause].Inc(1)
 	if end.Answer == nil {
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -188,6 +188,23 @@
 	is.Equal(sim.proxy.newestVersion(), uint64(9))
 }
 
+// TestCallerLeavesBeforeReady guards against a session that stays open at the home instance
+// because its caller left before it was told that the session has started.
+func TestCallerLeavesBeforeReady(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.startAndWait()
+	hasRun := false
+	caller := &Caller{Ready: func() error { return errDisconnected }}
+	sim.proxy.runRelay(caller, "g", Peer{}, &Relay{Run: func() RelayEnd {
+		hasRun = true
+		return RelayEnd{Cause: RelayCallerLeft}
+	}})
+	is.True(hasRun) // Run closes the connection to the home instance
+	is.Equal(sim.proxy.sessionCount(), 0)
+}
+
 // TestVersionsInQuickSuccession guards against a statement that waits without a bound while
 // other instances announce one version after another, of which none arrives.
 func TestVersionsInQuickSuccession(t *testing.T) {
