Send a final answer to every session that the drain limit ends

What callers saw: a planned stop that reached its limit closed the connections of running statements and of open transactions without a word; a statement that was read whole had neither an answer nor a refusal. Cause: the limit ended the supervisor tree, whose context closes the callers' connections, and the process then exits. Only a session's own goroutine could write to its caller, and it waits for the endpoint. Ruled out: interrupting the statements at their endpoints; one that waits for admission, for a primary or for its confirmation would still not answer before the process exits. Change: Conn.End sends an error as the connection's last message, between two flushes of the session; what comes second is not sent. At the drain limit every session is marked under its lock, so that a request that arrives now does not run, and gets AT3001 if a statement runs and AT2004 if it is idle, also in a transaction. Sending is bounded by 500 ms. A refused session uses End too. Result: TestDrainLimit has a running statement now and checks both answers.

--- a/instance/drain.go
+++ b/instance/drain.go
@@ -60,7 +60,7 @@
 		sleep(ctx, drainPollPeriod)
 	}
 	leaving.Wait()
-	running, inTransaction := in.sessions.remaining()
+	running, inTransaction := in.sessions.cutAll()
 	if running+inTransaction > 0 {
 		in.event(core.EventCut).WithField("running", running).WithField("transactions", inTransaction).
 			WithField("limit", in.settings.Drain).Warn("drain limit reached, remaining statements and transactions aborted")
--- a/instance/pipeline.go
+++ b/instance/pipeline.go
@@ -94,7 +94,9 @@
 		}
 		if pl.arrived.IsZero() {
 			pl.arrived = time.Now()
-			s.setBusy()
+			if !s.setBusy() {
+				return nil, drainingError()
+			}
 		}
 		switch m := m.(type) {
 		case *pgproto3.Terminate:
--- a/instance/session.go
+++ b/instance/session.go
@@ -103,8 +103,7 @@
 		return
 	}
 	in.counters.refusals.Inc(1)
-	conn.SendError(caller.SeverityFatal, e)
-	_ = conn.Flush()
+	conn.End(e)
 }
 
 // startSession performs start-up and authentication of a caller connection.
@@ -145,7 +144,7 @@
 		}
 	}
 	s.login.Parameters = nil
-	if s.sessionEntry, err = in.sessions.register(in.settings.Sessions, conn.Interrupt); err != nil {
+	if s.sessionEntry, err = in.sessions.register(in.settings.Sessions, conn); err != nil {
 		return nil, err
 	}
 	in.counters.sessions.Inc(1)
--- a/instance/sessions.go
+++ b/instance/sessions.go
@@ -41,20 +41,23 @@
 	// inTransaction is true if a transaction was open when the session became
 	// idle.
 	inTransaction bool
+	// cut is true once the drain limit ended the session; it runs no further request.
+	cut bool
 	// terminating is true if the session was asked to end before its next
 	// request.
 	terminating bool
 	// setReadDeadline sets the deadline of the session's read from its caller.
 	setReadDeadline func(time.Time)
+	// sendFinal sends an error as the last message to the session's caller.
+	sendFinal func(*core.Error)
 }
 
 func newSessions() *sessions {
 	return &sessions{entries: make(map[uint32]*sessionEntry)}
 }
 
-// register adds a session unless there are already limit of them.
-// setReadDeadline sets the deadline of the session's read from its caller.
-func (s *sessions) register(limit int, setReadDeadline func(time.Time)) (*sessionEntry, error) {
+// register adds the session of a caller's connection unless there are already limit of them.
+func (s *sessions) register(limit int, conn *caller.Conn) (*sessionEntry, error) {
 	var secret [4]byte
 	if _, err := rand.Read(secret[:]); err != nil {
 		return nil, err
@@ -66,7 +69,12 @@
 	}
 	for s.lastProcessID++; s.entries[s.lastProcessID] != nil || s.lastProcessID == 0; s.lastProcessID++ {
 	}
-	e := &sessionEntry{key: caller.CancelKey{ProcessID: s.lastProcessID, Secret: binary.BigEndian.Uint32(secret[:])}, idle: true, setReadDeadline: setReadDeadline}
+	e := &sessionEntry{
+		key:             caller.CancelKey{ProcessID: s.lastProcessID, Secret: binary.BigEndian.Uint32(secret[:])},
+		idle:            true,
+		setReadDeadline: conn.Interrupt,
+		sendFinal:       conn.End,
+	}
 	s.entries[s.lastProcessID] = e
 	return e, nil
 }
@@ -130,15 +138,20 @@
 }
 
 // setBusy records that a request arrived. A session that was asked to end
-// serves this request first.
-func (e *sessionEntry) setBusy() {
+// serves this request first. It returns false if the drain limit ended the
+// session, so that the request must not run.
+func (e *sessionEntry) setBusy() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.cut {
+		return false
+	}
 	e.idle = false
 	if e.terminating {
 		e.terminating = false
 		e.setReadDeadline(time.Time{})
 	}
+	return true
 }
 
 // setIdle records that the session waits for its caller.
@@ -175,24 +188,42 @@
 	}
 }
 
-// remaining counts the sessions with a running statement and those that are
-// idle in a transaction.
-func (s *sessions) remaining() (running, inTransaction int) {
+// cutAll ends every session with a final answer. It counts those with a running
+// statement and those that were idle in a transaction.
+func (s *sessions) cutAll() (running, inTransaction int) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, e := range s.entries {
-		e.mu.Lock()
-		switch {
-		case !e.idle:
+	entries := slices.Collect(maps.Values(s.entries))
+	s.mu.Unlock()
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	for _, e := range entries {
+		final, isRunning, isInTransaction := e.cutOff()
+		if isRunning {
 			running++
-		case e.inTransaction:
+		}
+		if isInTransaction {
 			inTransaction++
 		}
-		e.mu.Unlock()
+		sending.Go(func() { e.sendFinal(final) })
 	}
 	return running, inTransaction
 }
 
+// cutOff makes the session run no further request. It returns the session's final
+// answer and whether a statement runs or the session is idle in a transaction.
+func (e *sessionEntry) cutOff() (final *core.Error, isRunning, isInTransaction bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cut = true
+	switch {
+	case !e.idle:
+		return core.NewError(core.CodeOutcomeUnknown, "the instance stopped before the statement ended; its outcome is unknown"), true, false
+	case e.inTransaction:
+		return core.NewError(core.CodeDraining, "the instance is stopping and the transaction was rolled back"), false, true
+	}
+	return drainingError(), false, false
+}
+
 func cutPrefixFold(s, prefix string) (string, bool) {
 	return strings.CutPrefix(strings.ToLower(s), prefix)
 }
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -14,7 +15,7 @@
 )
 
 // Conn is one caller's connection. It is not safe for concurrent use, except for
-// Interrupt.
+// Interrupt and End.
 type Conn struct {
 	conn net.Conn
 	// backend reads the start-up messages; it is nil once start-up is complete.
@@ -27,6 +28,11 @@
 	sendBuffer []byte
 	// firstErr is the first error of the connection, or nil.
 	firstErr error
+
+	// writeMutex is held during a write.
+	writeMutex sync.Mutex
+	// ended is true once End was called or a write failed; nothing more is sent.
+	ended bool
 }
 
 // NewConn returns a connection over an accepted socket that rejects messages longer
@@ -94,7 +100,7 @@
 	if c.firstErr != nil {
 		return c.firstErr
 	}
-	_, err := c.conn.Write(c.sendBuffer[:n])
+	err := c.write(c.sendBuffer[:n])
 	rest := copy(c.sendBuffer, c.sendBuffer[n:])
 	c.sendBuffer = c.sendBuffer[:rest]
 	if cap(c.sendBuffer) > maxIdleBufferBytes && rest == 0 {
@@ -106,6 +112,37 @@
 	return nil
 }
 
+func (c *Conn) write(b []byte) error {
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	if c.ended {
+		return net.ErrClosed
+	}
+	_, err := c.conn.Write(b)
+	c.ended = err != nil
+	return err
+}
+
+// endTimeout bounds the sending of the last message to a caller that does not read.
+const endTimeout = 500 * time.Millisecond
+
+// End sends an error as the connection's last message, unless one was sent already. What is in
+// the send buffer is not sent. It may be called from another goroutine.
+func (c *Conn) End(e *core.Error) {
+	if err := c.conn.SetWriteDeadline(time.Now().Add(endTimeout)); err != nil {
+		return
+	}
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	if c.ended {
+		return
+	}
+	c.ended = true
+	if b, err := errorResponse(SeverityFatal, e).Encode(nil); err == nil {
+		_, _ = c.conn.Write(b)
+	}
+}
+
 // maxIdleBufferBytes is the largest buffer that an idle connection keeps.
 const maxIdleBufferBytes = 4 << 10
 
@@ -134,8 +171,10 @@
 
 // SendError appends an error response with the error's SQLSTATE and, as a hint, the
 // delay after which to retry.
-func (c *Conn) SendError(s Severity, e *core.Error) {
-	m := pgproto3.ErrorResponse{
+func (c *Conn) SendError(s Severity, e *core.Error) { c.Send(errorResponse(s, e)) }
+
+func errorResponse(s Severity, e *core.Error) *pgproto3.ErrorResponse {
+	m := &pgproto3.ErrorResponse{
 		Severity:            string(s),
 		SeverityUnlocalized: string(s),
 		Code:                e.Code.SQLState(),
@@ -144,5 +183,5 @@
 	if e.RetryAfter > 0 {
 		m.Hint = "retry after " + e.RetryAfter.Round(time.Millisecond).String()
 	}
-	c.Send(&m)
+	return m
 }
--- a/process/drain_test.go
+++ b/process/drain_test.go
@@ -145,9 +145,10 @@
 	return n
 }
 
-// TestDrainLimit checks that an open transaction delays a drain only up to the
-// configured limit, and that the log then states the number of transactions that
-// were ended by it.
+// TestDrainLimit checks that a long statement and an open transaction delay a drain only up to the
+// configured limit, and that the log then states the numbers of those that were ended by it. It
+// guards against a limit that closes connections without a final answer: the statement must get
+// one that says that its outcome is unknown, the transaction one that says that it was rolled back.
 func TestDrainLimit(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
@@ -158,15 +159,25 @@
 	h.awaitInstances(1)
 	h.submit(a, h.firstPatch())
 	h.awaitVersion()
-	open := h.mustConnect(ctx, a)
+	open, long := h.mustConnect(ctx, a), h.mustConnect(ctx, a)
 	defer open.Close(ctx) //nolint:errcheck // The drain has closed the connection.
+	defer long.Close(ctx) //nolint:errcheck // The drain has closed the connection.
 	_, err := open.Exec(ctx, "BEGIN")
 	is.NoErr(err)
+	longDone := execAsync(ctx, long, "SELECT pg_sleep(10)")
+	h.waitFor("two connections are in use", func() bool { return h.busyConnections(a) == 2 })
 	is.NoErr(a.command.Process.Signal(syscall.SIGTERM))
 	<-a.ended
 	is.Equal(a.status, 0)
+	got := <-longDone
+	is.Equal(sqlState(got.err), "08007")
+	is.True(strings.Contains(got.err.Error(), "AT3001"))
+	_, err = open.Exec(ctx, "COMMIT")
+	is.Equal(sqlState(err), "57P01")
+	is.True(strings.Contains(err.Error(), "AT2004"))
 	log, err := os.ReadFile(a.log)
 	is.NoErr(err)
 	is.True(strings.Contains(string(log), `"event":105`))
 	is.True(strings.Contains(string(log), `"transactions":1`))
+	is.True(strings.Contains(string(log), `"running":1`))
 }
