Answer a statement whose session panicked

What callers saw: a statement that made the session panic ended with a closed connection, without an answer or a refusal; the statement may have been sent to an endpoint. Cause: containPanic logged the panic; the connection was then closed. Change: containPanic sends AT3001 as the connection's last message (Conn.End), without what was in the send buffer, which may not be confirmed. It runs before the session is unregistered, so that a planned stop waits for it. TestPanicsKeepSlots passes containPanic a connection of its own, as it uses its session again after a panic, which the instance never does; its checks are the same. The test cleanup of the listener now checks how its supervisor ended.

--- a/instance/listener_test.go
+++ b/instance/listener_test.go
@@ -48,7 +48,9 @@
 	t.Cleanup(func() {
 		_ = socket.Close()
 		cancel()
-		_ = <-done
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
 	})
 }
 
@@ -96,3 +98,24 @@
 	_, err = first.Exec(ctx, "SET anviltack.deadline = '2s'").ReadAll()
 	is.NoErr(err) // the first session goes on
 }
+
+// TestPanickedStatementGetsAFinalAnswer guards against a statement that a fault of this program
+// ends without an answer. Without a group in the view every write panics.
+func TestPanickedStatementGetsAFinalAnswer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	in := New(settings.Settings{Sessions: 10, Message: 1 << 20})
+	serveOnly(t, in, l)
+	delete(in.View().Groups, "g")
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c, err := pgconn.Connect(ctx, "postgres://valuer:secret@"+l.Addr().String()+"/index?sslmode=disable")
+	is.NoErr(err)
+	defer c.Close(ctx) //nolint:errcheck // The session has ended.
+	_, err = c.Exec(ctx, "INSERT INTO item (key, value) VALUES ('a', '1')").ReadAll()
+	var answer *pgconn.PgError
+	is.True(errors.As(err, &answer))
+	is.Equal(answer.Severity, "FATAL")
+	is.Equal(answer.Code, core.CodeOutcomeUnknown.SQLState())
+}
--- a/instance/read_test.go
+++ b/instance/read_test.go
@@ -33,6 +33,8 @@
 	return len(b), nil
 }
 
+func (s *sink) SetWriteDeadline(time.Time) error { return nil }
+
 func encode(t testing.TB, messages ...pgproto3.BackendMessage) []byte {
 	t.Helper()
 	var b []byte
@@ -283,7 +285,7 @@
 	m.readStats = nil // so that a read panics once it has its connection
 	for range 5 {
 		func() {
-			defer s.instance.containPanic()
+			defer s.instance.containPanic(caller.NewConn(&sink{}, 1<<10))
 			defer s.end()
 			_, _ = s.readOn(pl, s.group.State(), m)
 			t.Error("the read did not panic")
--- a/instance/session.go
+++ b/instance/session.go
@@ -61,9 +61,9 @@
 
 // serveCaller serves one caller connection until the session ends.
 func (in *Instance) serveCaller(ctx context.Context, nc net.Conn) {
-	defer in.containPanic()
 	conn := caller.NewConn(nc, in.settings.Message)
 	defer conn.Close()
+	defer in.containPanic(conn)
 	defer context.AfterFunc(ctx, conn.Close)()
 	conn.SetReadDeadline(time.Now().Add(startupTimeout))
 	s, err := in.startSession(conn)
@@ -78,6 +78,7 @@
 	}
 	conn.SetReadDeadline(time.Time{})
 	defer s.end()
+	defer in.containPanic(conn) // before s.end, after which a planned stop may be complete
 	if err := s.run(); err != nil {
 		in.event(core.EventSessionError).WithField("caller", s.login.Caller).WithError(err).Debug("session ended")
 		in.reject(conn, err)
@@ -85,10 +86,11 @@
 }
 
 // containPanic ends the session of the goroutine that panicked, so that one message which the
-// code cannot handle does not end all others.
-func (in *Instance) containPanic() {
+// code cannot handle does not end all others. Its caller gets a final answer.
+func (in *Instance) containPanic(conn *caller.Conn) {
 	if r := recover(); r != nil {
 		in.event(core.EventSessionError).WithField("stack", string(debug.Stack())).WithError(fmt.Errorf("instance: panic: %v", r)).Error("session ended by a fault of this program")
+		conn.End(core.NewError(core.CodeOutcomeUnknown, "the session ended by a fault of the instance; the outcome of its statement is unknown"))
 	}
 }
 
