Do not refuse a submission that may have run

What callers saw: a submission whose connection was lost while it was committed was tried again; if the second attempt found no primary, or could not store the key, the answer was AT2002, which says that nothing ran. The first attempt may have run. Cause: serveWrite and finishOnce answered by the last attempt alone. Ruled out: to answer AT3001 after every lost attempt; one that was lost before its commit was sent did not run, and AT2002 stays the answer. An attempt that stores the key finds it new, so that no earlier attempt ran. Change: the pipeline records whether an attempt was lost after its commit was sent; a refusal is then AT3001. Result: TestSubmissionThatMayHaveRunIsNotRefused, with a scripted primary, failed before, write_test.go:160: not true: strings.Contains(string(out.last), c.code) --- FAIL: .../lost_after_the_commit_was_sent --- FAIL: .../key_not_stored_after_the_commit_was_sent and passes now with -race; its third case, lost before, passed and passes. The golden files of submissions pass unchanged.

--- a/instance/pipeline.go
+++ b/instance/pipeline.go
@@ -71,6 +71,9 @@
 	annotation annotation
 	// digest covers the statements of a submission.
 	digest submissionDigest
+	// mayHaveRun is true if an earlier attempt was lost after its commit was sent, so
+	// that the pipeline may no longer be refused.
+	mayHaveRun bool
 	// err is the first error in the pipeline; if it is set, nothing of the
 	// pipeline may run.
 	err *core.Error
--- a/instance/submission.go
+++ b/instance/submission.go
@@ -41,6 +41,8 @@
 	case o.sqlState != "":
 		a.exchange.sendQuery(rollbackStatement)
 	default:
+		a.pipeline.mayHaveRun = false // the key is new, so no earlier attempt ran
+		a.isCommitSent = true
 		a.exchange.sendPipeline(a.pipeline)
 		a.exchange.sendQuery(commitStatement)
 	}
@@ -85,7 +87,7 @@
 		a.session.conn.SendError(caller.SeverityError, core.NewError(core.CodeAlreadyRan, "a submission with this key ran already"))
 		return false, a.session.confirm(a.pipeline, a.term, status, a.exchange)
 	case insertSQLState != "":
-		return false, a.session.refuse(core.NewError(core.CodeNoPrimary, "the submission key could not be stored (SQLSTATE %s)", insertSQLState).WithRetry(primaryRetryDelay))
+		return false, a.session.refuseWrite(a.pipeline, core.NewError(core.CodeNoPrimary, "the submission key could not be stored (SQLSTATE %s)", insertSQLState).WithRetry(primaryRetryDelay))
 	case end.tag == commitStatement:
 		return false, a.session.confirm(a.pipeline, a.term, status, a.exchange)
 	case o.sqlState != "":
@@ -102,6 +104,7 @@
 	if a.isLast || !time.Now().Before(a.pipeline.deadline) || !a.session.instance.retries.allowRetry() {
 		return false, a.connectionLost()
 	}
+	a.pipeline.mayHaveRun = a.pipeline.mayHaveRun || a.isCommitSent
 	a.exchange.truncate()
 	if err := a.conn.Err(); err != nil {
 		a.member.pool.reportFailure(err)
--- a/instance/write.go
+++ b/instance/write.go
@@ -43,6 +43,8 @@
 	exchange *exchange
 	// isLast is true if the pipeline is not retried after this attempt.
 	isLast bool
+	// isCommitSent is true once the commit of a submission was sent.
+	isCommitSent bool
 }
 
 // serveWrite runs a pipeline on the primary and answers once a majority holds
@@ -51,7 +53,7 @@
 	for attempts := 1; ; attempts++ {
 		a, e := s.acquirePrimary(pl)
 		if e != nil {
-			return s.refuse(e)
+			return s.refuseWrite(pl, e)
 		}
 		a.isLast = attempts >= maxWriteAttempts
 		retry, err := a.write()
@@ -61,6 +63,14 @@
 	}
 }
 
+// refuseWrite refuses a write of which nothing ran in the last attempt; an earlier one may have run.
+func (s *session) refuseWrite(pl *pipeline, e *core.Error) error {
+	if pl.mayHaveRun {
+		return s.outcomeUnknown()
+	}
+	return s.refuse(e)
+}
+
 // newAttempt acquires a connection to a member for a pipeline.
 func (s *session) newAttempt(pl *pipeline, m *Member, term uint64) (*attempt, *core.Error) {
 	conn, e := m.pool.acquire(admissionRequest{caller: s.login.Caller, deadline: pl.deadline, work: workKind(pl)})
--- /dev/null
+++ b/instance/write_test.go
@@ -0,0 +1,163 @@
+package instance
+
+import (
+	"net"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+
+	"anviltack/core"
+	"anviltack/core/group"
+	"anviltack/core/mark"
+	"anviltack/core/patch"
+	"anviltack/core/pool"
+	"anviltack/io/caller"
+	"anviltack/settings"
+)
+
+// answerFunc returns the answer of a scripted primary to a simple query; without one the primary
+// closes the connection.
+type answerFunc func(sql string) []pgproto3.BackendMessage
+
+// answerTag returns the answer to a query that succeeded.
+func answerTag(tag string, status byte) []pgproto3.BackendMessage {
+	return []pgproto3.BackendMessage{&pgproto3.CommandComplete{CommandTag: []byte(tag)}, &pgproto3.ReadyForQuery{TxStatus: status}}
+}
+
+// answerStatus returns the answer to a status request of a primary at (1, 50).
+func answerStatus(sql string, status byte) []pgproto3.BackendMessage {
+	number, _, _ := strings.Cut(strings.TrimPrefix(sql, "SELECT *, "), " ")
+	row := &pgproto3.DataRow{}
+	for _, v := range []string{"primary", "1", "1", "50", "50", "1", "50", number} {
+		row.Values = append(row.Values, []byte(v))
+	}
+	return append([]pgproto3.BackendMessage{&pgproto3.RowDescription{}, row}, answerTag("SELECT 1", status)...)
+}
+
+// serve answers the queries of one connection.
+func (f answerFunc) serve(nc net.Conn) {
+	defer nc.Close() //nolint:errcheck // The connection is not used again.
+	b := pgproto3.NewBackend(nc, nc)
+	if _, err := b.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	b.Send(&pgproto3.AuthenticationOk{})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	for b.Flush() == nil {
+		m, err := b.Receive()
+		q, ok := m.(*pgproto3.Query)
+		if err != nil || !ok {
+			return
+		}
+		answer := f(q.String)
+		if answer == nil {
+			return
+		}
+		for _, a := range answer {
+			b.Send(a)
+		}
+	}
+}
+
+// newWriter returns a session whose group has one member, a scripted primary in term 1, and the
+// caller's end of the session.
+func newWriter(t *testing.T, f answerFunc) (*session, *sink) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(nc)
+		}
+	}()
+	in := New(settings.Settings{Answer: time.Hour, Connect: time.Minute, User: "anviltack"})
+	in.control = newControl(in, in.supervisor("samplers"))
+	config := patch.Endpoint{Address: netip.MustParseAddrPort(l.Addr().String()), Slots: 3, Connections: 20}
+	m := &Member{
+		Name: "p", Slots: config.Slots, Status: core.Status{Role: core.RolePrimary, Fence: 1, Term: 1, Received: 50, Applied: 50},
+		pool: newEndpointPool(in, "p", config), readStats: newReadStats(),
+	}
+	t.Cleanup(m.pool.close)
+	awaitUsableSlots(t, m.pool)
+	c, e := m.pool.acquire(admissionRequest{deadline: time.Now().Add(time.Minute), work: pool.WorkWrite})
+	if e != nil {
+		t.Fatal(e)
+	}
+	m.pool.release(c, true)
+	g := &Group{Name: "g", notifyWaiting: func() {}}
+	g.publish(&GroupState{Term: 1, Primary: "p", Members: map[core.Endpoint]*Member{"p": m}, Availability: group.Availability{Serving: true, Replicating: true}})
+	out := &sink{}
+	s := &session{
+		sessionEntry: &sessionEntry{}, instance: in, group: g, login: caller.Login{Database: "index"},
+		conn: caller.NewConn(out, 1<<20), marks: mark.New(time.Now()), reads: readState{router: in.newRouter()},
+	}
+	return s, out
+}
+
+// losePrimary publishes that the session's group has no primary and will not have one soon.
+func losePrimary(s *session) {
+	state := *s.group.State()
+	state.Primary, state.Availability = "", group.Availability{Since: time.Now().Add(-time.Hour)}
+	s.group.publish(&state)
+}
+
+// query returns a pipeline of one simple query.
+func query(sql string, a annotation) *pipeline {
+	now := time.Now()
+	return &pipeline{simple: true, sql: sql, executions: 1, arrived: now, deadline: now.Add(10 * time.Second), annotation: a}
+}
+
+// TestSubmissionThatMayHaveRunIsNotRefused guards against a refusal, which says that nothing ran,
+// of a submission whose first attempt was lost while it was committed and whose second attempt
+// found no primary or could not store the key.
+func TestSubmissionThatMayHaveRunIsNotRefused(t *testing.T) {
+	const insertKey, diskFull = "INSERT INTO anviltack_submission", "53100"
+	for _, c := range []struct {
+		name, lostAt string
+		// keepsPrimary is true if the second attempt finds a primary, which cannot store the key.
+		keepsPrimary bool
+		code         string
+	}{
+		{"lost before the statement was sent", insertKey, false, "AT2002"},
+		{"lost after the commit was sent", commitStatement, false, "AT3001"},
+		{"key not stored after the commit was sent", commitStatement, true, "AT3001"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var s *session
+			var lost atomic.Bool
+			s, out := newWriter(t, func(sql string) []pgproto3.BackendMessage {
+				switch {
+				case strings.HasPrefix(sql, c.lostAt) && !lost.Swap(true):
+					if !c.keepsPrimary {
+						losePrimary(s)
+					}
+					return nil
+				case strings.HasPrefix(sql, insertKey) && lost.Load():
+					return []pgproto3.BackendMessage{&pgproto3.ErrorResponse{Code: diskFull}, &pgproto3.ReadyForQuery{TxStatus: 'E'}}
+				case sql == beginStatement:
+					return answerTag(beginStatement, 'T')
+				case strings.HasPrefix(sql, "INSERT"):
+					return answerTag("INSERT 0 1", 'T')
+				case sql == rollbackStatement:
+					return answerTag(rollbackTag, 'I')
+				}
+				return answerStatus(sql, 'I')
+			})
+			is.NoErr(s.serveWrite(query("INSERT INTO item (key, value) VALUES ('a', '1')", annotation{submission: "s"})))
+			is.True(strings.Contains(string(out.last), c.code))
+		})
+	}
+}
