Refuse statements that a simple query follows before their Sync

What callers saw: Parse, Bind and Execute followed by a Query without a Sync got the answer to the query alone; the first statement neither ran nor was refused. Cause: setQuery makes the pipeline a simple one, whose steps are not sent. Ruled out: running both; the answers of a simple and of an extended pipeline are read differently, and no driver that the project knows of sends this. A Close or Parse alone before a query is left as it was, as no statement is dropped. Change: such a pipeline is refused with AT4003, of which nothing runs.

--- a/instance/pipeline.go
+++ b/instance/pipeline.go
@@ -105,6 +105,9 @@
 		case *pgproto3.Terminate:
 			return nil, nil
 		case *pgproto3.Query:
+			if pl.executions > 0 {
+				pl.fail(core.NewError(core.CodeUnsupported, "a simple query before the Sync of other statements is not supported"))
+			}
 			s.setQuery(pl, m.String)
 			return pl, nil
 		case *pgproto3.Sync:
