Report the open transaction after a refused parameter

What callers saw: a SET of one of anviltack's parameters that was refused inside a transaction was answered with ReadyForQuery "idle", although the transaction was open: the caller's next statement still ran in it, and a configuration did not apply to the session. Cause: refuse always reported the idle status. Change: it reports the status of the session. The transaction goes on, as before. Result: TestRefusedParameterKeepsTheTransaction failed before, write_test.go:238: 73 != 84 // the status in ReadyForQuery and passes now with -race.

--- a/instance/session.go
+++ b/instance/session.go
@@ -283,7 +283,7 @@
 func (s *session) refuse(e *core.Error) error {
 	s.instance.counters.refusals.Inc(1)
 	s.conn.SendError(caller.SeverityError, e)
-	return s.sendReady('I')
+	return s.sendReady(s.transactionStatus())
 }
 
 // sendReady completes the response to a pipeline with ReadyForQuery, preceded by
--- a/instance/write_test.go
+++ b/instance/write_test.go
@@ -220,3 +220,20 @@
 		})
 	}
 }
+
+// TestRefusedParameterKeepsTheTransaction guards against a refusal in a transaction that says that
+// no transaction is open, after which the caller's next statement would still run in it.
+func TestRefusedParameterKeepsTheTransaction(t *testing.T) {
+	is := is.New(t)
+	s, out := newWriter(t, func(sql string) []pgproto3.BackendMessage {
+		if sql == beginStatement {
+			return answerTag(beginStatement, 'T')
+		}
+		return answerStatus(sql, 'T')
+	})
+	openTransaction(t, s)
+	is.NoErr(s.servePipeline(query("SET anviltack.deadline = 'never'", annotation{})))
+	is.True(strings.Contains(string(out.last), "AT4004"))
+	is.True(s.transaction != nil)
+	is.Equal(out.last[len(out.last)-1], byte('T')) // the status in ReadyForQuery
+}
