Confirm a commit whose pipeline opens another transaction

What callers saw: COMMIT AND CHAIN, and pipelines such as COMMIT; BEGIN or COMMIT; BEGIN; ROLLBACK, were answered as committed before a majority held the commit; a failover could lose it. Cause: a pipeline after which a transaction is open, or whose last tag is ROLLBACK, was answered without a confirmation. Change: an exchange records that a COMMIT ran; such a pipeline is confirmed first. If that fails while the next transaction is open, the session ends with AT3001, which rolls that one back. Result: TestCommitThatOpensATransactionIsConfirmed, with a scripted primary that nothing confirms, failed before in its three cases, write_test.go:273: not true: !strings.Contains(string(out.last), commitStatement) // nothing confirmed it and passes now with -race; it also checks that a confirmed commit is answered with its status.

--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -40,6 +40,8 @@
 	sqlState string
 	// tag is the last command tag.
 	tag string
+	// isCommitted is true if the pipeline contained a COMMIT that ran.
+	isCommitted bool
 }
 
 // exchange sends one pipeline over an endpoint connection and forwards the
@@ -276,6 +278,7 @@
 			return nil
 		}
 		o.tag = string(m.CommandTag)
+		o.isCommitted = o.isCommitted || o.tag == commitStatement
 		x.markUnconfirmed()
 		x.completeStep(m)
 	case *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
--- a/instance/primary.go
+++ b/instance/primary.go
@@ -91,14 +91,23 @@
 // arrived, a majority held the position in the term in which the pipeline was
 // sent. If that is not confirmed, the outcome is unknown.
 func (s *session) confirm(pl *pipeline, term uint64, status core.Status, x *exchange) error {
+	if !s.awaitConfirmation(pl, term, status) {
+		x.truncate()
+		return s.outcomeUnknown()
+	}
+	return s.sendReady('I')
+}
+
+// awaitConfirmation waits for the confirmation of a pipeline until its deadline
+// and raises the session's mark if it comes.
+func (s *session) awaitConfirmation(pl *pipeline, term uint64, status core.Status) bool {
 	point := status.Durable()
 	state, _ := s.group.await(pl.deadline, func(g *GroupState) bool {
 		return g.Confirmation.Verdict(pl.arrived, term, point) != group.VerdictPending
 	})
 	if state.Confirmation.Verdict(pl.arrived, term, point) != group.VerdictConfirmed {
-		x.truncate()
-		return s.outcomeUnknown()
+		return false
 	}
 	s.raiseMark(point)
-	return s.sendReady('I')
+	return true
 }
--- a/instance/transaction.go
+++ b/instance/transaction.go
@@ -53,16 +53,28 @@
 	}
 	if o.status != 'I' {
 		tx.pool.releaseSlot(tx.conn)
-		return s.sendReady(o.status)
+		return s.finishInTransaction(pl, tx.term, status, o, x)
 	}
 	s.transaction = nil
 	tx.pool.release(tx.conn, reusable)
-	if o.tag == rollbackTag || o.tag == "" {
+	if !o.isCommitted && (o.tag == rollbackTag || o.tag == "") {
 		return s.sendReady('I')
 	}
 	return s.confirm(pl, tx.term, status, x)
 }
 
+// finishInTransaction answers a pipeline after which a transaction is open. If it committed another
+// transaction before, that is confirmed first; otherwise the session ends, as its outcome is unknown.
+func (s *session) finishInTransaction(pl *pipeline, term uint64, status core.Status, o outcome, x *exchange) error {
+	// In a failed transaction the endpoint gave no status.
+	if o.isCommitted && (o.status == 'E' || !s.awaitConfirmation(pl, term, status)) {
+		x.truncate()
+		s.instance.counters.unknownOutcomes.Inc(1)
+		return core.NewError(core.CodeOutcomeUnknown, "the outcome of the commit is unknown")
+	}
+	return s.sendReady(o.status)
+}
+
 func primaryReplacedError() *core.Error {
 	return core.NewError(core.CodeTransactionLost, "the primary of the transaction was replaced; none of its changes took effect").WithRetry(minRetryAfter)
 }
--- a/instance/write.go
+++ b/instance/write.go
@@ -113,7 +113,7 @@
 		a.session.attempt = nil
 		a.session.clearRunning()
 		a.member.pool.releaseSlot(a.conn)
-		return false, a.session.sendReady(o.status)
+		return false, a.session.finishInTransaction(a.pipeline, a.term, status, o, a.exchange)
 	}
 	if o.sqlState == "" && a.pipeline.simple && isSetStatement(a.pipeline.sql) {
 		return false, a.recordSetting()
--- a/instance/write_test.go
+++ b/instance/write_test.go
@@ -197,10 +197,10 @@
 			is := is.New(t)
 			var s *session
 			s, out := newWriter(t, func(sql string) []pgproto3.BackendMessage {
-				switch {
-				case sql == beginStatement:
+				switch sql {
+				case beginStatement:
 					return answerTag(beginStatement, 'T')
-				case sql == c.sql:
+				case c.sql:
 					state := *s.group.State()
 					state.Term = 2
 					s.group.publish(&state)
@@ -237,3 +237,55 @@
 	is.True(s.transaction != nil)
 	is.Equal(out.last[len(out.last)-1], byte('T')) // the status in ReadyForQuery
 }
+
+// TestCommitThatOpensATransactionIsConfirmed guards against a commit that is acknowledged before a
+// majority holds it, because its pipeline ends in another transaction or in a rollback.
+func TestCommitThatOpensATransactionIsConfirmed(t *testing.T) {
+	for _, c := range []struct {
+		sql    string
+		status byte
+		tags   []string
+	}{
+		{"COMMIT AND CHAIN", 'T', []string{commitStatement}},
+		{"COMMIT; BEGIN", 'T', []string{commitStatement, beginStatement}},
+		{"COMMIT; BEGIN; ROLLBACK", 'I', []string{commitStatement, beginStatement, rollbackTag}},
+	} {
+		t.Run(c.sql, func(t *testing.T) {
+			is := is.New(t)
+			s, out := newWriter(t, func(sql string) []pgproto3.BackendMessage {
+				if sql == beginStatement {
+					return answerTag(beginStatement, 'T')
+				}
+				if sql != c.sql {
+					return answerStatus(sql, 'T')
+				}
+				var answer []pgproto3.BackendMessage
+				for _, tag := range c.tags {
+					answer = append(answer, &pgproto3.CommandComplete{CommandTag: []byte(tag)})
+				}
+				return append(answer, &pgproto3.ReadyForQuery{TxStatus: c.status})
+			})
+			openTransaction(t, s)
+			out.last = nil
+			pl := query(c.sql, annotation{})
+			pl.deadline = pl.arrived.Add(time.Second)
+			err := s.servePipeline(pl)
+			is.True(!strings.Contains(string(out.last), commitStatement)) // nothing confirmed it
+			answer := string(out.last)
+			if err != nil {
+				answer = err.Error()
+			}
+			is.True(strings.Contains(answer, "AT3001"))
+			s.end()
+
+			confirmed := *s.group.State()
+			confirmed.Confirmation = group.Confirmation{Term: 1, Position: 50, AsOf: time.Now().Add(time.Hour)}
+			s.group.publish(&confirmed)
+			openTransaction(t, s)
+			is.NoErr(s.servePipeline(query(c.sql, annotation{})))
+			is.True(strings.Contains(string(out.last), commitStatement))
+			is.Equal(out.last[len(out.last)-1], c.status)
+			is.Equal(s.transaction != nil, c.status == 'T')
+		})
+	}
+}
