Refuse Flush without waiting for Sync

What callers saw: a driver that sends Parse and Flush, and Sync only once it has an answer, waited without bound; the refusal (AT4003) that the design states was kept until Sync. A planned stop counted the session as running until its limit. Cause: the error of a pipeline was only sent with the answer to its Sync. Change: Flush sends the error at once, as PostgreSQL does, and Sync is then answered with ReadyForQuery alone. In a transaction the refusal ends the session at once, as it did at Sync. Result: TestFlushIsRefusedAtOnce failed before, pipeline_test.go:76: err: read tcp 127.0.0.1:41896->127.0.0.1:34431: i/o timeout // an answer before Sync and passes now with -race.

--- a/instance/pipeline.go
+++ b/instance/pipeline.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"anviltack/core"
+	"anviltack/io/caller"
 )
 
 // stepKind is the kind of one message of the extended protocol.
@@ -77,6 +78,8 @@
 	// err is the first error in the pipeline; if it is set, nothing of the
 	// pipeline may run.
 	err *core.Error
+	// isRefused is true if err was sent to the caller before Sync.
+	isRefused bool
 }
 
 const (
@@ -114,12 +117,30 @@
 			return pl, nil
 		case *pgproto3.Flush:
 			pl.fail(core.NewError(core.CodeUnsupported, "Flush without Sync is not supported"))
+			if err := s.refuseBeforeSync(pl); err != nil {
+				return nil, err
+			}
 		default:
 			s.addStep(pl, m)
 		}
 	}
 }
 
+// refuseBeforeSync sends the error of a pipeline to a caller that sends no Sync before it has an
+// answer. In a transaction the error ends the session.
+func (s *session) refuseBeforeSync(pl *pipeline) error {
+	if s.transaction != nil {
+		return pl.err
+	}
+	if pl.isRefused {
+		return nil
+	}
+	pl.isRefused = true
+	s.instance.counters.refusals.Inc(1)
+	s.conn.SendError(caller.SeverityError, pl.err)
+	return s.conn.Flush()
+}
+
 func (pl *pipeline) fail(e *core.Error) {
 	if pl.err == nil {
 		pl.err = e
@@ -128,6 +149,7 @@
 
 func (s *session) setQuery(pl *pipeline, sql string) {
 	pl.simple = true
+	pl.isRefused = false // a query gets an answer of its own
 	pl.sql = sql
 	pl.executions = 1
 	a, e := parseAnnotation(sql, s.defaults)
--- a/instance/pipeline_test.go
+++ b/instance/pipeline_test.go
@@ -1,15 +1,19 @@
 package instance
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
 
 	"anviltack/core"
 	"anviltack/io/caller"
+	"anviltack/settings"
 )
 
 // readMessages returns the pipeline that a session reads from a caller's messages.
@@ -48,3 +52,38 @@
 	is.NoErr(err)
 	is.True(pl.err == nil)
 }
+
+// TestFlushIsRefusedAtOnce guards against a caller that waits without bound: after Flush it sends no
+// Sync before it has an answer.
+func TestFlushIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	serveOnly(t, New(settings.Settings{Sessions: 10, Message: 1 << 20}), l)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c, err := pgconn.Connect(ctx, "postgres://valuer:secret@"+l.Addr().String()+"/index?sslmode=disable")
+	is.NoErr(err)
+	h, err := c.Hijack()
+	is.NoErr(err)
+	defer h.Conn.Close() //nolint:errcheck // The test has ended.
+	is.NoErr(h.Conn.SetDeadline(time.Now().Add(2 * time.Second)))
+
+	h.Frontend.Send(&pgproto3.Parse{Query: "SELECT 1"})
+	h.Frontend.Send(&pgproto3.Flush{})
+	is.NoErr(h.Frontend.Flush())
+	m, err := h.Frontend.Receive()
+	is.NoErr(err) // an answer before Sync
+	refusal, ok := m.(*pgproto3.ErrorResponse)
+	is.True(ok)
+	is.Equal(refusal.Code, core.CodeUnsupported.SQLState())
+
+	h.Frontend.Send(&pgproto3.Sync{})
+	h.Frontend.Send(&pgproto3.Query{String: "SET anviltack.deadline = '2s'"})
+	is.NoErr(h.Frontend.Flush())
+	for _, want := range []pgproto3.BackendMessage{&pgproto3.ReadyForQuery{}, &pgproto3.CommandComplete{}, &pgproto3.ReadyForQuery{}} {
+		m, err := h.Frontend.Receive()
+		is.NoErr(err)
+		is.Equal(fmt.Sprintf("%T", m), fmt.Sprintf("%T", want))
+	}
+}
--- a/instance/session.go
+++ b/instance/session.go
@@ -263,6 +263,9 @@
 func (s *session) servePipeline(pl *pipeline) error {
 	s.instance.counters.statements.Inc(1)
 	s.instance.retries.recordStatement()
+	if pl.isRefused {
+		return s.sendReady('I')
+	}
 	if pl.err != nil && s.transaction == nil {
 		return s.refuse(pl.err)
 	}
