Let the caller of a message that is too large see the refusal

What callers saw: a statement well above the limit of a message ended with "connection reset by peer" in place of AT4002; the caller had neither an answer nor a refusal. Cause: the refusal was sent once the length was known, and the connection closed at once. To close a socket with unread data resets it, so the caller's write failed before it read the refusal. Ruled out: reading the message first; its length is not trusted, and the refusal would wait for it. Change: after the refusal, and once the session has given back its transaction and its place, the connection is closed for writing and what the caller still sends is dropped, for 5 s at most.

--- a/instance/listener_test.go
+++ b/instance/listener_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -119,3 +120,25 @@
 	is.Equal(answer.Severity, "FATAL")
 	is.Equal(answer.Code, core.CodeOutcomeUnknown.SQLState())
 }
+
+// TestCallerOfATooLargeMessageGetsTheRefusal guards against a refusal that the caller never sees,
+// because the connection is closed, and so reset, while the caller still sends the message.
+func TestCallerOfATooLargeMessageGetsTheRefusal(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	in := New(settings.Settings{Sessions: 10, Message: 1 << 10})
+	serveOnly(t, in, l)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c, err := pgconn.Connect(ctx, "postgres://valuer:secret@"+l.Addr().String()+"/index?sslmode=disable")
+	is.NoErr(err)
+	defer c.Close(ctx) //nolint:errcheck // The session has ended.
+	_, err = c.Exec(ctx, strings.Repeat(" ", 32<<20)).ReadAll()
+	is.True(err != nil)
+	var answer *pgconn.PgError
+	if !errors.As(err, &answer) {
+		t.Fatal(err)
+	}
+	is.Equal(answer.Code, core.CodeTooLarge.SQLState())
+}
--- a/instance/session.go
+++ b/instance/session.go
@@ -63,6 +63,7 @@
 func (in *Instance) serveCaller(ctx context.Context, nc net.Conn) {
 	conn := caller.NewConn(nc, in.settings.Message)
 	defer conn.Close()
+	defer conn.DiscardUnread()
 	defer in.containPanic(conn)
 	defer context.AfterFunc(ctx, conn.Close)()
 	conn.SetReadDeadline(time.Now().Add(startupTimeout))
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -29,6 +30,9 @@
 	// firstErr is the first error of the connection, or nil.
 	firstErr error
 
+	// isUnread is true if a message was refused by its length and not read.
+	isUnread bool
+
 	// writeMutex is held during a write.
 	writeMutex sync.Mutex
 	// ended is true once End was called or a write failed; nothing more is sent.
@@ -46,7 +50,29 @@
 // Receive returns the next message, which is valid until the next call. The error for
 // a malformed or oversized message is a *core.Error.
 func (c *Conn) Receive() (pgproto3.FrontendMessage, error) {
-	return c.receiver.next()
+	m, err := c.receiver.next()
+	if err != nil {
+		var e *core.Error
+		c.isUnread = errors.As(err, &e) && e.Code == core.CodeTooLarge
+	}
+	return m, err
+}
+
+// unreadTimeout bounds the reading of a message that was refused by its length.
+const unreadTimeout = 5 * time.Second
+
+// DiscardUnread reads and drops what the caller still sends of a message that was refused by its
+// length. Closing the connection instead would reset it, and the caller would not see the refusal.
+// Nothing can be sent afterwards.
+func (c *Conn) DiscardUnread() {
+	if !c.isUnread {
+		return
+	}
+	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	c.SetReadDeadline(time.Now().Add(unreadTimeout))
+	_, _ = io.Copy(io.Discard, c.conn)
 }
 
 // classifyReadError distinguishes invalid messages, for which it returns a *core.Error,
