Do not count a removed replica towards a majority

What callers saw: a read that ran on a replica while a configuration removed this replica, or its group, could be answered with what only the primary held for certain; a failover could take it back. Cause: the rule for groups of at most three counts the replica of the read as a member. The read keeps the member that it started with, while the members come from the newest state; a removed group has none, which also counts as "at most three". Change: the rule applies only if the replica still is a member. Otherwise the read waits for the confirmation until its deadline, as in larger groups, and is withdrawn without it. Result: TestReadOnARemovedReplicaNeedsAMajority failed before, read_test.go:314: not true: !(&GroupState{Term: 1, Members: members("p", "q")}).isDurable(m, p) and passes now; the tests of reads pass with -race.

--- a/instance/freshness.go
+++ b/instance/freshness.go
@@ -84,11 +84,12 @@
 }
 
 // isDurable reports whether what a read saw on m at p cannot be lost: p is
-// confirmed, or m is a replica in a group of at most three, whose primary holds
-// p too, so that two members, a majority, hold it.
+// confirmed, or m is a replica and still a member of a group of at most three,
+// whose primary holds p too, so that two members, a majority, hold it.
 func (s *GroupState) isDurable(m *Member, p core.Point) bool {
 	const replicaAndPrimary = 2
-	if m.Status.Role == core.RoleReplica && replicaAndPrimary > len(s.Members)/2 {
+	_, isMember := s.Members[m.Name]
+	if isMember && m.Status.Role == core.RoleReplica && replicaAndPrimary > len(s.Members)/2 {
 		return true
 	}
 	return s.Term == p.Term && s.Confirmed.Covers(p)
--- a/instance/read_test.go
+++ b/instance/read_test.go
@@ -296,3 +296,22 @@
 	is.NoErr(s.serveRead(pl))
 	is.Equal(s.instance.counters.readsOnReplica.Count(), int64(1))
 }
+
+// TestReadOnARemovedReplicaNeedsAMajority guards against a read that counts the replica on which it
+// ran as a member of the group after a configuration removed it, or removed the group.
+func TestReadOnARemovedReplicaNeedsAMajority(t *testing.T) {
+	is := is.New(t)
+	m := &Member{Name: "r", Status: core.Status{Role: core.RoleReplica}}
+	p := core.Point{Term: 1, Position: 50}
+	members := func(names ...core.Endpoint) map[core.Endpoint]*Member {
+		found := make(map[core.Endpoint]*Member)
+		for _, n := range names {
+			found[n] = &Member{Name: n}
+		}
+		return found
+	}
+	is.True((&GroupState{Term: 1, Members: members("p", "q", "r")}).isDurable(m, p))
+	is.True(!(&GroupState{Term: 1, Members: members("p", "q")}).isDurable(m, p))
+	is.True(!(&GroupState{Term: 1}).isDurable(m, p))
+	is.True((&GroupState{Term: 1, Members: members("p", "q"), Confirmed: p}).isDurable(m, p))
+}
