Script the removal of a group with statements in flight

A golden file removes the group and its database while a transaction is open, a statement runs, another waits for a row lock and a session is idle: each gets a final answer by its deadline (AT3001, AT2008, the endpoint's 40P01, AT4009).

--- a/golden/golden_test.go
+++ b/golden/golden_test.go
@@ -118,6 +118,14 @@
 	case "revoke":
 		s.revoke(core.Caller(argument(d, "user")), argument(d, "instance"))
 		return ""
+	case "remove-group":
+		s.removeGroup(argument(d, "instance"))
+		return ""
+	case "await-busy":
+		s.WaitFor("connections in use", func() bool {
+			return strconv.Itoa(s.BusyConnections(argument(d, "instance"))) == argument(d, "count")
+		})
+		return ""
 	case "await-primary":
 		previous := argument(d, "not")
 		s.WaitFor("a new primary", func() bool { p := s.Primary(); return p != "" && p != previous })
@@ -174,6 +182,15 @@
 	s.WaitFor("the caller is unknown", func() bool { return s.Connect("revoked", string(user), instance, nil) != nil })
 }
 
+// removeGroup removes the group and its database from the configuration and waits until an instance
+// rejects new sessions.
+func (s script) removeGroup(instance string) {
+	c := s.Config
+	c.Groups, c.Databases = nil, nil
+	s.Configure(c)
+	s.WaitFor("the database is unknown", func() bool { return s.Connect("removed", "valuer", instance, nil) != nil })
+}
+
 // commandKill kills an endpoint or an instance.
 func (s script) commandKill(d *datadriven.TestData) string {
 	if name := argument(d, "endpoint"); name != "" {
--- a/standin/harness/harness.go
+++ b/standin/harness/harness.go
@@ -22,6 +22,7 @@
 	"anviltack/core/patch"
 	"anviltack/instance"
 	"anviltack/io/caller"
+	"anviltack/io/operator"
 	"anviltack/settings"
 	"anviltack/standin/endpoint"
 	"anviltack/standin/loopback"
@@ -308,6 +309,29 @@
 	return names
 }
 
+// BusyConnections returns the number of endpoint connections on which an instance runs
+// statements or holds transactions.
+func (h *Harness) BusyConnections(name string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), Timeout)
+	defer cancel()
+	client := operator.Client{Addresses: []netip.AddrPort{h.instances[name].control}, Token: "operator-token", HTTP: http.DefaultClient}
+	var dump struct {
+		Groups []struct {
+			Members []struct{ Links struct{ Busy int } }
+		}
+	}
+	if err := client.Get(ctx, "/dump", &dump); err != nil {
+		return 0
+	}
+	n := 0
+	for _, g := range dump.Groups {
+		for _, m := range g.Members {
+			n += m.Links.Busy
+		}
+	}
+	return n
+}
+
 // EndpointAddress returns the address at which an endpoint serves statements.
 func (h *Harness) EndpointAddress(endpoint string) netip.AddrPort {
 	return h.endpoints[endpoint].address
