Do not retry a statement whose rows were streamed

What callers saw: a statement that is not annotated as a read, whose response began with more than 64 KiB of rows and then failed as read-only at a replaced primary, was sent again up to five times; the caller got the rows of every attempt as one result. Cause: releaseIfPrimaryReplaced drops the buffered response, but not the part that was sent. Change: once rows were streamed there is no retry; the endpoint's error, after which nothing ran, is the answer. Result: TestStreamedStatementIsNotRetried, with a scripted primary, failed before, write_test.go:312: 5 != 1 and passes now with -race.

--- a/instance/write.go
+++ b/instance/write.go
@@ -128,9 +128,9 @@
 // releaseIfPrimaryReplaced reports whether a write that was rejected as
 // read-only reached an endpoint that is no longer the primary. If so, it
 // releases the connection, and the write, of which nothing ran, may be retried
-// at the next primary.
+// at the next primary. A statement whose first rows were sent is not.
 func (a *attempt) releaseIfPrimaryReplaced(status core.Status) bool {
-	if a.isLast || isPrimary(status, a.term) || time.Now().After(a.pipeline.deadline) {
+	if a.isLast || a.exchange.streamed || isPrimary(status, a.term) || time.Now().After(a.pipeline.deadline) {
 		return false
 	}
 	a.exchange.truncate()
--- a/instance/write_test.go
+++ b/instance/write_test.go
@@ -289,3 +289,26 @@
 		})
 	}
 }
+
+// TestStreamedStatementIsNotRetried guards against rows that a caller gets twice, because a statement
+// whose first rows were sent already was tried again after the primary was replaced.
+func TestStreamedStatementIsNotRetried(t *testing.T) {
+	is := is.New(t)
+	const sql = "SELECT record(value) FROM item"
+	var sent atomic.Int64
+	s, out := newWriter(t, func(q string) []pgproto3.BackendMessage {
+		if q != sql {
+			answer := answerStatus(q, 'I')
+			answer[1].(*pgproto3.DataRow).Values[0] = []byte("replica")
+			return answer
+		}
+		sent.Add(1)
+		return []pgproto3.BackendMessage{
+			&pgproto3.RowDescription{}, &pgproto3.DataRow{Values: [][]byte{make([]byte, streamThreshold)}},
+			&pgproto3.ErrorResponse{Code: sqlStateReadOnly}, &pgproto3.ReadyForQuery{TxStatus: 'I'},
+		}
+	})
+	is.NoErr(s.serveWrite(query(sql, annotation{})))
+	is.Equal(sent.Load(), int64(1))
+	is.True(strings.Contains(string(out.last), sqlStateReadOnly))
+}
