Say that a transaction was lost if it read before its rejected write

What callers saw: a pipeline such as SELECT 1; UPDATE, in a transaction whose primary was replaced, got the endpoint's 25006 in place of AT2008 (SQLSTATE 40001), by which drivers try a transaction again. Cause: since any command that completed counts as a commit that may have run. Change: a transaction that still is open and failed, and in whose pipeline no COMMIT ran, had no effect. Result: the new case of TestTransactionThatMayHaveRunIsNotRefused failed before, write_test.go:226: not true: strings.Contains(answer, c.code) --- FAIL: .../read_and_write and passes now with -race, as do the other two.

--- a/instance/transaction.go
+++ b/instance/transaction.go
@@ -47,7 +47,8 @@
 		return s.transactionConnectionLost(x)
 	}
 	reusable := s.clearRunning()
-	if o.sqlState == sqlStateReadOnly && o.tag == "" && s.group.State().Term > tx.term {
+	hasNoEffect := o.tag == "" || o.status == 'E' && !o.isCommitted
+	if o.sqlState == sqlStateReadOnly && hasNoEffect && s.group.State().Term > tx.term {
 		x.truncate()
 		return primaryReplacedError()
 	}
--- a/instance/write_test.go
+++ b/instance/write_test.go
@@ -185,6 +185,13 @@
 			"write", "UPDATE item SET value = '1' WHERE key = 'a'", "AT2008",
 			[]pgproto3.BackendMessage{&pgproto3.ErrorResponse{Code: sqlStateReadOnly}, &pgproto3.ReadyForQuery{TxStatus: 'E'}},
 		},
+		{
+			"read and write", "SELECT 1; UPDATE item SET value = '1' WHERE key = 'a'", "AT2008",
+			[]pgproto3.BackendMessage{
+				&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")},
+				&pgproto3.ErrorResponse{Code: sqlStateReadOnly}, &pgproto3.ReadyForQuery{TxStatus: 'E'},
+			},
+		},
 		{
 			"commit and write", "COMMIT; UPDATE item SET value = '1' WHERE key = 'a'", "AT3001",
 			[]pgproto3.BackendMessage{
