Confirm a commit inside a submission

What callers saw: a submission with a COMMIT of its own, such as COMMIT; BEGIN; INSERT, was answered without a confirmation if the INSERT failed, and with AT2002, that nothing ran, if the last commit did. Cause: finishOnce judges by the last tag alone, as pipelines did before. Change: such a submission is confirmed; if its last commit failed, the outcome is unknown.

--- a/instance/submission.go
+++ b/instance/submission.go
@@ -88,13 +88,23 @@
 		return false, a.session.confirm(a.pipeline, a.term, status, a.exchange)
 	case insertSQLState != "":
 		return false, a.session.refuseWrite(a.pipeline, core.NewError(core.CodeNoPrimary, "the submission key could not be stored (SQLSTATE %s)", insertSQLState).WithRetry(primaryRetryDelay))
-	case end.tag == commitStatement:
-		return false, a.session.confirm(a.pipeline, a.term, status, a.exchange)
+	}
+	return false, a.finishNew(o, end, status)
+}
+
+// finishNew answers a submission whose key was new, so that this attempt alone ran.
+func (a *attempt) finishNew(o, end outcome, status core.Status) error {
+	switch {
+	case end.tag == commitStatement, o.isCommitted && o.sqlState != "":
+		return a.session.confirm(a.pipeline, a.term, status, a.exchange)
+	case o.isCommitted: // only what follows the COMMIT was rolled back
+		a.exchange.truncate()
+		return a.session.outcomeUnknown()
 	case o.sqlState != "":
-		return false, a.session.sendReady('I')
+		return a.session.sendReady('I')
 	}
 	a.exchange.truncate()
-	return false, a.session.refuse(core.NewError(core.CodeNoPrimary, "the transaction was rolled back").WithRetry(primaryRetryDelay))
+	return a.session.refuse(core.NewError(core.CodeNoPrimary, "the transaction was rolled back").WithRetry(primaryRetryDelay))
 }
 
 // submissionConnectionLost handles a submission whose connection failed. Its
--- a/instance/write_test.go
+++ b/instance/write_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -319,3 +320,50 @@
 	is.Equal(sent.Load(), int64(1))
 	is.True(strings.Contains(string(out.last), sqlStateReadOnly))
 }
+
+// TestCommitInASubmissionIsConfirmed guards against a commit inside a submission that is
+// acknowledged before a majority holds it, or refused, because what follows it was rolled back.
+func TestCommitInASubmissionIsConfirmed(t *testing.T) {
+	const sql = "COMMIT; BEGIN; INSERT INTO item (key, value) VALUES ('a', '1')"
+	const duplicate = "23505"
+	tags := []pgproto3.BackendMessage{
+		&pgproto3.CommandComplete{CommandTag: []byte(commitStatement)}, &pgproto3.CommandComplete{CommandTag: []byte(beginStatement)},
+	}
+	for _, c := range []struct {
+		name           string
+		answer, commit []pgproto3.BackendMessage
+	}{
+		{
+			"statement failed",
+			append(slices.Clone(tags), &pgproto3.ErrorResponse{Code: duplicate}, &pgproto3.ReadyForQuery{TxStatus: 'E'}),
+			answerTag(rollbackTag, 'I'),
+		},
+		{
+			"last commit failed",
+			append(slices.Clone(tags), answerTag("INSERT 0 1", 'T')...),
+			[]pgproto3.BackendMessage{&pgproto3.ErrorResponse{Code: duplicate}, &pgproto3.ReadyForQuery{TxStatus: 'I'}},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, out := newWriter(t, func(q string) []pgproto3.BackendMessage {
+				switch {
+				case q == sql:
+					return c.answer
+				case q == commitStatement:
+					return c.commit
+				case q == beginStatement:
+					return answerTag(beginStatement, 'T')
+				case strings.HasPrefix(q, "INSERT INTO anviltack_submission"):
+					return answerTag("INSERT 0 1", 'T')
+				}
+				return answerStatus(q, 'I')
+			})
+			pl := query(sql, annotation{submission: "s"})
+			pl.deadline = pl.arrived.Add(time.Second)
+			is.NoErr(s.serveWrite(pl))
+			is.True(!strings.Contains(string(out.last), commitStatement)) // nothing confirmed it
+			is.True(strings.Contains(string(out.last), "AT3001"))
+		})
+	}
+}
