Do not replay a write that stands behind a SET

What callers saw: a simple query such as SET work_mem = '1MB'; INSERT was answered as run before a majority held the insert, and the whole text was sent again on every other connection that the session used: the insert ran more than once. Cause: the whole text counts as a setting of the session if its first word is SET or RESET. Ruled out: to look for a semicolon; a quoted value may contain one, and that setting would be lost. Change: the text is kept only if the tags of all its commands are SET or RESET. Otherwise it is confirmed as a write, and its settings are not kept, as for a SET behind another statement.

--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -42,6 +42,8 @@
 	tag string
 	// isCommitted is true if the pipeline contained a COMMIT that ran.
 	isCommitted bool
+	// hasOtherThanSet is true if a command other than SET and RESET completed.
+	hasOtherThanSet bool
 }
 
 // exchange sends one pipeline over an endpoint connection and forwards the
@@ -279,6 +281,7 @@
 		}
 		o.tag = string(m.CommandTag)
 		o.isCommitted = o.isCommitted || o.tag == commitStatement
+		o.hasOtherThanSet = o.hasOtherThanSet || o.tag != setTag && o.tag != resetTag
 		x.markUnconfirmed()
 		x.completeStep(m)
 	case *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
--- a/instance/write.go
+++ b/instance/write.go
@@ -16,6 +16,7 @@
 	rollbackStatement      = "ROLLBACK"
 
 	rollbackTag = "ROLLBACK"
+	resetTag    = "RESET"
 	// sqlStateReadOnly is the SQLSTATE of a write on an endpoint that accepts
 	// no writes.
 	sqlStateReadOnly = "25006"
@@ -115,7 +116,7 @@
 		a.member.pool.releaseSlot(a.conn)
 		return false, a.session.finishInTransaction(a.pipeline, a.term, status, o, a.exchange)
 	}
-	if o.sqlState == "" && a.pipeline.simple && isSetStatement(a.pipeline.sql) {
+	if o.sqlState == "" && !o.hasOtherThanSet && a.pipeline.simple && isSetStatement(a.pipeline.sql) {
 		return false, a.recordSetting()
 	}
 	a.release(true)
--- a/instance/write_test.go
+++ b/instance/write_test.go
@@ -367,3 +367,24 @@
 		})
 	}
 }
+
+// TestWriteBehindASettingIsNotReplayed guards against a write that is acknowledged before a majority
+// holds it, and repeated on other connections, because a SET stands before it in the same query.
+func TestWriteBehindASettingIsNotReplayed(t *testing.T) {
+	is := is.New(t)
+	const sql = "SET work_mem = '1MB'; INSERT INTO item (key, value) VALUES ('a', '1')"
+	s, out := newWriter(t, func(q string) []pgproto3.BackendMessage {
+		if q == sql {
+			return []pgproto3.BackendMessage{
+				&pgproto3.CommandComplete{CommandTag: []byte("SET")}, &pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")},
+				&pgproto3.ReadyForQuery{TxStatus: 'I'},
+			}
+		}
+		return answerStatus(q, 'I')
+	})
+	pl := query(sql, annotation{})
+	pl.deadline = pl.arrived.Add(time.Second)
+	is.NoErr(s.serveWrite(pl))
+	is.Equal(len(s.state.statements), 0)
+	is.True(strings.Contains(string(out.last), "AT3001")) // nothing confirmed it
+}
