--- a/instance/session.go
+++ b/instance/session.go
@@ -61,9 +61,10 @@
 
 // serveCaller serves one caller connection until the session ends.
 func (in *Instance) serveCaller(ctx context.Context, nc net.Conn) {
-	defer in.containPanic()
 	conn := caller.NewConn(nc, in.settings.Message)
 	defer conn.Close()
+	defer conn.DiscardUnread()
+	defer in.containPanic(conn)
 	defer context.AfterFunc(ctx, conn.Close)()
 	conn.SetReadDeadline(time.Now().Add(startupTimeout))
 	s, err := in.startSession(conn)
@@ -78,6 +79,7 @@
 	}
 	conn.SetReadDeadline(time.Time{})
 	defer s.end()
+	defer in.containPanic(conn) // before s.end, after which a planned stop may be complete
 	if err := s.run(); err != nil {
 		in.event(core.EventSessionError).WithField("caller", s.login.Caller).WithError(err).Debug("session ended")
 		in.reject(conn, err)
@@ -85,10 +87,11 @@
 }
 
 // containPanic ends the session of the goroutine that panicked, so that one message which the
-// code cannot handle does not end all others.
-func (in *Instance) containPanic() {
+// code cannot handle does not end all others. Its caller gets a final answer.
+func (in *Instance) containPanic(conn *caller.Conn) {
 	if r := recover(); r != nil {
 		in.event(core.EventSessionError).WithField("stack", string(debug.Stack())).WithError(fmt.Errorf("instance: panic: %v", r)).Error("session ended by a fault of this program")
+		conn.End(core.NewError(core.CodeOutcomeUnknown, "the session ended by a fault of the instance; the outcome of its statement is unknown"))
 	}
 }
 
@@ -103,8 +106,7 @@
 		return
 	}
 	in.counters.refusals.Inc(1)
-	conn.SendError(caller.SeverityFatal, e)
-	_ = conn.Flush()
+	conn.End(e)
 }
 
 // startSession performs start-up and authentication of a caller connection.
@@ -145,7 +147,7 @@
 		}
 	}
 	s.login.Parameters = nil
-	if s.sessionEntry, err = in.sessions.register(in.settings.Sessions, conn.Interrupt); err != nil {
+	if s.sessionEntry, err = in.sessions.register(in.settings.Sessions, conn); err != nil {
 		return nil, err
 	}
 	in.counters.sessions.Inc(1)
@@ -262,6 +264,9 @@
 func (s *session) servePipeline(pl *pipeline) error {
 	s.instance.counters.statements.Inc(1)
 	s.instance.retries.recordStatement()
+	if pl.isRefused {
+		return s.sendReady('I')
+	}
 	if pl.err != nil && s.transaction == nil {
 		return s.refuse(pl.err)
 	}
@@ -282,7 +287,7 @@
 func (s *session) refuse(e *core.Error) error {
 	s.instance.counters.refusals.Inc(1)
 	s.conn.SendError(caller.SeverityError, e)
-	return s.sendReady('I')
+	return s.sendReady(s.transactionStatus())
 }
 
 // sendReady completes the response to a pipeline with ReadyForQuery, preceded by
--- a/instance/submission.go
+++ b/instance/submission.go
@@ -41,6 +41,8 @@
 	case o.sqlState != "":
 		a.exchange.sendQuery(rollbackStatement)
 	default:
+		a.pipeline.mayHaveRun = false // the key is new, so no earlier attempt ran
+		a.isCommitSent = true
 		a.exchange.sendPipeline(a.pipeline)
 		a.exchange.sendQuery(commitStatement)
 	}
@@ -85,14 +87,24 @@
 		a.session.conn.SendError(caller.SeverityError, core.NewError(core.CodeAlreadyRan, "a submission with this key ran already"))
 		return false, a.session.confirm(a.pipeline, a.term, status, a.exchange)
 	case insertSQLState != "":
-		return false, a.session.refuse(core.NewError(core.CodeNoPrimary, "the submission key could not be stored (SQLSTATE %s)", insertSQLState).WithRetry(primaryRetryDelay))
-	case end.tag == commitStatement:
-		return false, a.session.confirm(a.pipeline, a.term, status, a.exchange)
+		return false, a.session.refuseWrite(a.pipeline, core.NewError(core.CodeNoPrimary, "the submission key could not be stored (SQLSTATE %s)", insertSQLState).WithRetry(primaryRetryDelay))
+	}
+	return false, a.finishNew(o, end, status)
+}
+
+// finishNew answers a submission whose key was new, so that this attempt alone ran.
+func (a *attempt) finishNew(o, end outcome, status core.Status) error {
+	switch {
+	case end.tag == commitStatement, o.isCommitted && o.sqlState != "":
+		return a.session.confirm(a.pipeline, a.term, status, a.exchange)
+	case o.isCommitted: // only what follows the COMMIT was rolled back
+		a.exchange.truncate()
+		return a.session.outcomeUnknown()
 	case o.sqlState != "":
-		return false, a.session.sendReady('I')
+		return a.session.sendReady('I')
 	}
 	a.exchange.truncate()
-	return false, a.session.refuse(core.NewError(core.CodeNoPrimary, "the transaction was rolled back").WithRetry(primaryRetryDelay))
+	return a.session.refuse(core.NewError(core.CodeNoPrimary, "the transaction was rolled back").WithRetry(primaryRetryDelay))
 }
 
 // submissionConnectionLost handles a submission whose connection failed. Its
@@ -102,6 +114,7 @@
 	if a.isLast || !time.Now().Before(a.pipeline.deadline) || !a.session.instance.retries.allowRetry() {
 		return false, a.connectionLost()
 	}
+	a.pipeline.mayHaveRun = a.pipeline.mayHaveRun || a.isCommitSent
 	a.exchange.truncate()
 	if err := a.conn.Err(); err != nil {
 		a.member.pool.reportFailure(err)
