Contain a panic in a request of the instance itself

All callers of an instance would have lost their sessions, and the statements that were read from them, if an endpoint answered a handshake, a sample, a check of the primary or a fence in a way that the program cannot handle: these run in goroutines of their own, in which a panic ends the process.

Found by reading; no such answer of an endpoint is known, and the parsing of reports, points and errors was read for one without result. Answers of other instances about limits were contained already. Not part of this are answers of the store and of the promotion service, and the answers that a relay forwards.

A panic in such a request, or in opening a connection, is now an error like that of any answer which is not valid; the connection of a request is closed, and the counts of connections and of requests stay right.

TestPanicsInControlRequests ended the test process before with "panic: garbled answer" in groupControl.sample, and with only endpoint.connect left as it was with the same there.

--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -305,7 +305,7 @@
 		return Report{}, time.Time{}, err
 	}
 	sentAt := p.now()
-	r, err := use(c.conn)
+	r, err := p.requestOrContain(c.conn, use)
 	if isResponse(err) {
 		e.noteResponse(p.now())
 	}
@@ -320,12 +320,27 @@
 	return r, upSince, err
 }
 
+var errUnusableAnswer = errors.New("proxy: the answer of the endpoint could not be handled")
+
+// requestOrContain sends a control request. A panic is an error, because it would end the
+// process: control requests run in goroutines of their own.
+func (p *Proxy) requestOrContain(c *Conn, use func(*Conn) (Report, error)) (r Report, err error) {
+	defer p.containPanic(func() { r, err = Report{}, errUnusableAnswer })
+	return use(c)
+}
+
+// dialOrContain opens a connection to an endpoint. A panic is an error, for the same reason.
+func (p *Proxy) dialOrContain(ctx context.Context, e Endpoint, o core.Organisation) (c *Conn, err error) {
+	defer p.containPanic(func() { c, err = nil, errUnusableAnswer })
+	return p.dependencies.Endpoints.Dial(ctx, e, o)
+}
+
 // dial opens a connection for a control request.
 func (e *endpoint) dial() (*endpointConn, error) {
 	p := e.groupControl.control.proxy
 	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 	defer cancel()
-	c, err := p.dependencies.Endpoints.Dial(ctx, e.info, "")
+	c, err := p.dialOrContain(ctx, e.info, "")
 	p.counts.connections.Inc(1)
 	if isResponse(err) {
 		e.noteResponse(p.now())
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -288,7 +288,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
 	overdue := e.watchOverdue(p.now())
-	c, err := p.dependencies.Endpoints.Dial(ctx, e.info, o)
+	c, err := p.dialOrContain(ctx, e.info, o)
 	overdue.Stop()
 	now := p.now()
 	p.counts.connections.Inc(1)
--- a/proxy/endpoint_test.go
+++ b/proxy/endpoint_test.go
@@ -307,3 +307,29 @@
 		is.Equal(asError(receive(t, results, "rejection")).Code, core.CodeNoConnection)
 	}
 }
+
+// TestPanicsInControlRequests guards against a panic that ends the whole process: handshakes,
+// samples, checks of the primary and fences run in goroutines of their own.
+func TestPanicsInControlRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newSimulation(t)
+	sim.garbleControl("p", "r", "s")
+	sim.startAndWait() // the first samples open connections
+	is.Equal(sim.proxy.counts.sessionPanics.Count(), int64(3))
+	sim.garbleControl("p", "r", "s")
+	sim.waitFor(func() bool { return sim.proxy.counts.sessionPanics.Count() == 6 })
+	is.NoErr(sim.open("a", "newest").send(Statement{ID: "1", Kind: KindWrite}).Err)
+
+	sim, e := newTestEndpoint(t, 3)
+	sim.garbleControl("p")
+	_, err := e.acquire(connectionRequest{organisation: "north", maxWait: stepTimeout})
+	is.Equal(asError(err).Code, core.CodeNoConnection)
+	_, _, err = e.sample(false)
+	is.NoErr(err)
+	sim.garbleControl("p")
+	_, err = e.fence(1, core.RolePrimary)
+	is.Equal(err, errUnusableAnswer)
+	is.Equal(e.mix.Open, 0) // the connections were closed
+	is.Equal(e.sampling, 0)
+}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -73,8 +73,8 @@
 	p.serveCaller(caller)
 }
 
-// containPanic ends the session of the goroutine that panicked, so that one message which the
-// code cannot handle does not end all others. It must be deferred itself.
+// containPanic ends the session or the request of the goroutine that panicked, so that one
+// message which the code cannot handle does not end all others. It must be deferred itself.
 func (p *Proxy) containPanic(end func()) {
 	r := recover()
 	if r == nil {
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -36,6 +36,9 @@
 	fencedLate bool
 	// garbled makes the next answer to a caller one that the instance cannot handle.
 	garbled bool
+	// garbledControl makes the next answer to a handshake, or to a request of the instance
+	// itself, one that it cannot handle.
+	garbledControl bool
 	// loseAnswer drops the answer to the next statement of a caller, which is executed.
 	loseAnswer bool
 	// delay is how long statements other than BEGIN take.
@@ -275,6 +278,7 @@
 		time.Sleep(unreachableTimeout)
 		return nil, errTimeout
 	}
+	s.answerControl(f)
 	c := &fakeConn{organisation: o, sim: s, fake: f, values: map[string]string{}, prepared: map[string]string{}}
 	return &Conn{
 		Exchange: c.exchange, Status: c.status, CheckPrimary: c.checkPrimary, Fence: c.fence,
@@ -282,6 +286,25 @@
 	}, nil
 }
 
+// garbleControl sets garbledControl of endpoints.
+func (s *simulation) garbleControl(names ...core.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		s.find(name).garbledControl = true
+	}
+}
+
+// answerControl panics if the endpoint's next answer is one that the instance cannot handle.
+func (s *simulation) answerControl(f *fakeEndpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.garbledControl {
+		f.garbledControl = false
+		panic("garbled answer")
+	}
+}
+
 // waitIfUnreachable reports whether the endpoint is unreachable, after the time that a
 // request to it would take to fail.
 func (c *fakeConn) waitIfUnreachable(timeout time.Duration) bool {
@@ -304,6 +327,7 @@
 	if c.waitIfUnreachable(timeout) {
 		return Report{}, errTimeout
 	}
+	c.sim.answerControl(c.fake)
 	c.sim.mu.Lock()
 	defer c.sim.mu.Unlock()
 	return c.report(), nil
@@ -313,6 +337,7 @@
 	if c.waitIfUnreachable(timeout) {
 		return core.Point{}, errTimeout
 	}
+	c.sim.answerControl(c.fake)
 	c.sim.mu.Lock()
 	defer c.sim.mu.Unlock()
 	if c.fake.role != core.RolePrimary {
@@ -325,6 +350,7 @@
 	if c.waitIfUnreachable(timeout) {
 		return Report{}, errTimeout
 	}
+	c.sim.answerControl(c.fake)
 	c.sim.mu.Lock()
 	defer c.sim.mu.Unlock()
 	for c.fake.fencedLate && len(c.sim.promoted) == 0 {
