Let every statement of a transaction keep the group

Callers with a transaction at an instance that is no home instance of its group got an unknown outcome for a commit that had taken effect, after the whole timeout, if they only set values or prepared statements for 20 s before it.

SET, PREPARE and DEALLOCATE end the idle time of a transaction like those, so that the time between two counted statements has no bound. The commit itself did not count either.

TestOpenTransactionKeepsGroup, as strict as before for a write, also runs with a value that is set and a statement that is prepared.

--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -327,6 +327,25 @@
 // and leaves it during a long transaction, whose commit is then never confirmed.
 func TestOpenTransactionKeepsGroup(t *testing.T) {
 	t.Parallel()
+	for _, c := range []struct {
+		statement Statement
+		commit    string
+	}{
+		{Statement{ID: "3", Kind: KindWrite}, "p at 1.11 map[]; signed by p idle"},
+		{Statement{ID: "3", Kind: KindSet, Name: "v", Value: "1"}, "p at 1.11 map[v:1]; signed by p idle"},
+		{Statement{ID: "3", Kind: KindPrepare, Name: "q", Access: KindWrite, Shape: "x"}, "p at 1.11 map[]; signed by p idle"},
+	} {
+		t.Run(string(c.statement.Kind), func(t *testing.T) {
+			t.Parallel()
+			testOpenTransactionKeepsGroup(t, c.statement, c.commit)
+		})
+	}
+}
+
+// testOpenTransactionKeepsGroup checks that a statement in a transaction keeps the group, so that
+// the commit gets its answer.
+func testOpenTransactionKeepsGroup(t *testing.T, st Statement, commit string) {
+	t.Helper()
 	is := is.New(t)
 	sim := newNonHomeSimulation(t)
 	sim.relay = func(Peer) (*Relay, error) { return nil, errNoHome }
@@ -336,14 +355,14 @@
 	is.NoErr(c.send(Statement{ID: "2", Kind: KindWrite}).Err)
 	g := sim.proxy.placement.Load().groups["g"]
 	g.lastUsedAt.Store(sim.proxy.now().Add(-nonHomeRetention).UnixNano()) // the transaction began then
-	is.NoErr(c.send(Statement{ID: "3", Kind: KindWrite}).Err)
+	is.NoErr(c.send(st).Err)
 	done := make(chan struct{})
 	sim.proxy.control.post(t.Context(), func(time.Time) {
 		sim.proxy.control.reconcileGroups()
 		close(done)
 	})
 	receive(t, done, "assignment of the groups")
-	is.Equal(describe(c.send(Statement{ID: "4", Kind: KindCommit})), "p at 1.11 map[]; signed by p idle")
+	is.Equal(describe(c.send(Statement{ID: "4", Kind: KindCommit})), commit)
 }
 
 // TestPanicInRollback guards against a panic that ends the whole process: a rollback is answered
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -60,7 +60,6 @@
 // executeInTransaction runs a statement in the open transaction.
 func (s *session) executeInTransaction(st Statement, access Kind, arrived time.Time) Answer {
 	tx := s.tx
-	tx.group.lastUsedAt.Store(s.proxy.now().UnixNano())
 	if err := s.checkTransactionKey(); err != nil {
 		s.closeTransactionConn()
 		return s.fail(err)
