Answer relayed statements when a planned stop ends

Callers saw their connection close without an answer to a statement that the instance had read and relayed, if it still ran when the instance exited at the end of a planned stop: 5.3 s after the stop began, with a grace period of 6 s.

The stop of a relayed session waits for the answer of the home instance, and nothing ended that wait before the exit.

The exit now closes the connection to the home instance, with which the session ends like one whose home instance is lost: its own goroutine answers, with the outcome unknown only for a statement that may have been kept, and closes the connection of the caller. The cause in the log and the metric is "stopped".

TestStopAnswersRelayedStatements failed before, with GiveUp declared but not called, after the 1 min that "answer to the statement" may take.

--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -62,6 +62,9 @@
 	// Stop ends the session between two statements; inside a transaction only if
 	// inTransaction is set.
 	Stop func(inTransaction bool)
+	// GiveUp ends the session at once, because the process exits. It answers a statement that
+	// has no answer, and returns when Run ends.
+	GiveUp func()
 }
 
 // RelayCause is the reason why a relayed session ended.
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -214,6 +214,10 @@
 // giveUp answers the statement that still runs, if there is one, because the process exits,
 // which also rolls back a transaction.
 func (s *session) giveUp() {
+	if s.relay != nil {
+		s.relay.GiveUp()
+		return
+	}
 	if s.reply(Answer{Err: core.NewError(core.CodeOutcomeUnknown, "the instance stopped before the statement ended"), State: StateIdle}) == nil {
 		s.caller.Close()
 	}
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -94,6 +94,30 @@
 	is.Equal(c.lastAnswer().Err, errDisconnected) // there is one answer
 }
 
+// TestStopAnswersRelayedStatements guards against a process that exits, at the end of a planned
+// stop, while a statement that it relayed has no answer.
+func TestStopAnswersRelayedStatements(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newNonHomeSimulation(t)
+	sim.proxy.settings.GracePeriod = 2 * time.Second
+	givenUp := make(chan struct{})
+	sim.relay = func(Peer) (*Relay, error) {
+		return &Relay{
+			Run:    func() RelayEnd { <-givenUp; return RelayEnd{Cause: RelayStopped} },
+			Stop:   func(bool) {}, // the statement still runs
+			GiveUp: func() { close(givenUp) },
+		}, nil
+	}
+	sim.startNonHome()
+	c := sim.open("a", "bounded")
+	sim.waitFor(func() bool { return sim.proxy.counts.relayed.Count() == 1 })
+	close(sim.stop)
+	is.NoErr(receive(t, sim.done, "end of the instance"))
+	receive(t, givenUp, "answer to the statement")
+	receive(t, c.ended, "end of the session")
+}
+
 // TestStopDuringBegin guards against cutting a transaction between two statements because its
 // session was told to stop at the moment when its BEGIN had been read.
 func TestStopDuringBegin(t *testing.T) {
