Contain a panic in the messages that a relay receives

All callers of an instance would have lost their sessions, and the statements that were read from them, if the home instance of one relayed session sent a message that the program cannot handle: a relay reads answers, configurations and requests for them in a goroutine of its own, in which a panic ends the process.

Found by reading; no such message is known.

The panic now ends that session only, like the loss of the home instance, with an answer to the statement that awaits one, and is recorded like the panic of a session: event 401 with the stack, and the metric session_panics.

--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -85,6 +85,10 @@
 	Cause RelayCause
 	// Err is the error that ended the session; nil if no call failed.
 	Err error
+	// Panic is the value of a panic that ended the session and PanicStack its stack; nil and
+	// empty for none.
+	Panic      any
+	PanicStack string
 	// State is the session's state before Statement.
 	State State
 	// Statement is the one that the home instance did not answer, and Answer the error that
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -132,6 +132,9 @@
 	}
 	end := r.Run()
 	p.counts.relayEnds[end.Cause].Inc(1)
+	if end.Panic != nil {
+		p.recordPanic(end.Panic, end.PanicStack)
+	}
 	if end.Answer == nil {
 		return
 	}
--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -90,6 +90,22 @@
 	is.NoErr(receive(t, sim.done, "end of the instance"))
 }
 
+// TestPanicInRelayIsRecorded checks that a panic which ended a relayed session is counted like one
+// of a session that is served here.
+func TestPanicInRelayIsRecorded(t *testing.T) {
+	t.Parallel()
+	sim := newNonHomeSimulation(t)
+	sim.relay = func(Peer) (*Relay, error) {
+		return &Relay{
+			Run:  func() RelayEnd { return RelayEnd{Cause: RelayHomeClosed, Panic: "garbled", PanicStack: "stack"} },
+			Stop: func(bool) {}, GiveUp: func() {},
+		}, nil
+	}
+	sim.startNonHome()
+	receive(t, sim.open("a", "bounded").ended, "end of the session")
+	is.New(t).Equal(sim.proxy.counts.sessionPanics.Count(), int64(1))
+}
+
 // TestMonitoredGroupIsRelayed checks that an instance which is home of no group relays the
 // sessions of the group that it watches.
 func TestMonitoredGroupIsRelayed(t *testing.T) {
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -81,8 +81,13 @@
 		return
 	}
 	end()
+	p.recordPanic(r, string(debug.Stack()))
+}
+
+// recordPanic counts and logs a panic that ended a session or a request.
+func (p *Proxy) recordPanic(value any, stack string) {
 	p.counts.sessionPanics.Inc(1)
-	p.event(core.EventSessionError).WithField("stack", string(debug.Stack())).WithError(fmt.Errorf("proxy: panic: %v", r)).Error("session ended by a fault of this program")
+	p.event(core.EventSessionError).WithField("stack", stack).WithError(fmt.Errorf("proxy: panic: %v", value)).Error("session ended by a fault of this program")
 }
 
 // serveCaller serves or relays a started session until it ends.
