Count the idle end of a transaction in a session that was told to stop

Operators missed ends of sessions in event 401 and in transactions_idle_ended: those of transactions that were idle for too long after their session was told to stop by a planned stop, a withdrawn key or a change of homes. Callers saw no difference.

Cause: since a session in a transaction, too, is marked as stopping, and the ends of such sessions were left out as being caused by the stop.

Only the ends of sessions that a stop has interrupted are left out now. The callers of the simulation return the error of a deadline where those of the platform do, without which no idle end was counted there.

TestIdleEndsAreCounted failed before with "0 != 1" for the session that goes on until its idle time is over, and passes now, 4 times; ./proxy passes with -race.

--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -131,6 +131,7 @@
 	if s.inTransaction.Load() && !inTransaction {
 		return
 	}
+	s.interrupted.Store(true)
 	s.caller.Interrupt()
 }
 
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -108,7 +108,7 @@
 // transaction for longer than limit.
 func (s *session) recordIdleEnd(limit time.Duration, err error) {
 	p := s.proxy
-	if limit == 0 || s.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+	if limit == 0 || s.interrupted.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
 	p.counts.idleEnds.Inc(1)
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -41,6 +41,8 @@
 	// stopping makes the session end before its next statement; other goroutines set
 	// it.
 	stopping atomic.Bool
+	// interrupted is true once stop has made the wait for a statement fail.
+	interrupted atomic.Bool
 	// organisation is that of the operation that runs, and operation its token.
 	organisation core.Organisation
 	operation    operationToken
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -536,9 +536,9 @@
 				}
 				return st, nil
 			case <-c.interrupt:
-				return Statement{}, errDisconnected
+				return Statement{}, os.ErrDeadlineExceeded
 			case <-expired:
-				return Statement{}, errDisconnected
+				return Statement{}, os.ErrDeadlineExceeded
 			}
 		},
 		Answer: func(a Answer) error { c.answers <- a; return nil },
--- a/proxy/stop_test.go
+++ b/proxy/stop_test.go
@@ -146,6 +146,29 @@
 	receive(t, c.ended, "end of the session")
 }
 
+// TestIdleEndsAreCounted guards against a transaction whose idle end is not counted because its
+// session was told to stop after it, and checks that an interrupt is not counted as such an end.
+func TestIdleEndsAreCounted(t *testing.T) {
+	t.Parallel()
+	for _, forced := range []bool{false, true} {
+		t.Run(strconv.FormatBool(forced), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			sim := newSimulation(t)
+			sim.startAndWait()
+			c := sim.open("a", "newest")
+			is.NoErr(c.send(Statement{ID: "1", Kind: KindBegin}).Err)
+			sim.proxy.endSessions(forced, anySession)
+			receive(t, c.ended, "end of the session")
+			want := int64(1)
+			if forced {
+				want = 0
+			}
+			is.Equal(sim.proxy.counts.idleEnds.Count(), want)
+		})
+	}
+}
+
 // TestIsolatedInstanceIsNotReady checks that the instance is not ready and ends idle
 // sessions while no endpoint answers.
 func TestIsolatedInstanceIsNotReady(t *testing.T) {
