--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -62,8 +62,8 @@
 	// Stop ends the session between two statements; inside a transaction only if
 	// inTransaction is set.
 	Stop func(inTransaction bool)
-	// GiveUp ends the session at once. It returns when a statement without an answer has got
-	// one that says what is known.
+	// GiveUp ends the session at once, because the process exits. It answers a statement that
+	// has no answer, and returns when Run ends.
 	GiveUp func()
 }
 
@@ -85,6 +85,10 @@
 	Cause RelayCause
 	// Err is the error that ended the session; nil if no call failed.
 	Err error
+	// Panic is the value of a panic that ended the session and PanicStack its stack; nil and
+	// empty for none.
+	Panic      any
+	PanicStack string
 	// State is the session's state before Statement.
 	State State
 	// Statement is the one that the home instance did not answer, and Answer the error that
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -41,6 +41,8 @@
 	// stopping makes the session end before its next statement; other goroutines set
 	// it.
 	stopping atomic.Bool
+	// interrupted is true once stop has made the wait for a statement fail.
+	interrupted atomic.Bool
 	// organisation is that of the operation that runs, and operation its token.
 	organisation core.Organisation
 	operation    operationToken
@@ -73,16 +75,21 @@
 	p.serveCaller(caller)
 }
 
-// containPanic ends the session of the goroutine that panicked, so that one message which the
-// code cannot handle does not end all others. It must be deferred itself.
+// containPanic ends the session or the request of the goroutine that panicked, so that one
+// message which the code cannot handle does not end all others. It must be deferred itself.
 func (p *Proxy) containPanic(end func()) {
 	r := recover()
 	if r == nil {
 		return
 	}
 	end()
+	p.recordPanic(r, string(debug.Stack()))
+}
+
+// recordPanic counts and logs a panic that ended a session or a request.
+func (p *Proxy) recordPanic(value any, stack string) {
 	p.counts.sessionPanics.Inc(1)
-	p.event(core.EventSessionError).WithField("stack", string(debug.Stack())).WithError(fmt.Errorf("proxy: panic: %v", r)).Error("session ended by a fault of this program")
+	p.event(core.EventSessionError).WithField("stack", stack).WithError(fmt.Errorf("proxy: panic: %v", value)).Error("session ended by a fault of this program")
 }
 
 // serveCaller serves or relays a started session until it ends.
@@ -242,6 +249,9 @@
 
 // answer runs one statement.
 func (s *session) answer(st Statement, arrived time.Time) Answer {
+	if s.tx != nil {
+		s.tx.group.lastUsedAt.Store(s.proxy.now().UnixNano())
+	}
 	if s.tx != nil && s.tx.failed && st.Kind != KindCommit && st.Kind != KindRollback {
 		return s.fail(core.NewError(core.CodeBadMessage, "the transaction failed; only commit or rollback can follow"))
 	}
