End a session after a panic without an interruption

The close of a session between two statements tells the other side by itself since all such ends do; the interruption and its comment were left from before. The tests of proxy pass.

--- a/proxy/session.go
+++ b/proxy/session.go
@@ -188,12 +188,7 @@
 		if s.reply(a) != nil {
 			return
 		}
-		if !ok {
-			// An instance that relays the session learns that its next statement is not run.
-			s.caller.Interrupt()
-			return
-		}
-		if s.isBetterServedElsewhere(a.Err) {
+		if !ok || s.isBetterServedElsewhere(a.Err) {
 			return
 		}
 	}
