--- a/instance/read_test.go
+++ b/instance/read_test.go
@@ -33,6 +33,8 @@
 	return len(b), nil
 }
 
+func (s *sink) SetWriteDeadline(time.Time) error { return nil }
+
 func encode(t testing.TB, messages ...pgproto3.BackendMessage) []byte {
 	t.Helper()
 	var b []byte
@@ -283,7 +285,7 @@
 	m.readStats = nil // so that a read panics once it has its connection
 	for range 5 {
 		func() {
-			defer s.instance.containPanic()
+			defer s.instance.containPanic(caller.NewConn(&sink{}, 1<<10))
 			defer s.end()
 			_, _ = s.readOn(pl, s.group.State(), m)
 			t.Error("the read did not panic")
@@ -294,3 +296,22 @@
 	is.NoErr(s.serveRead(pl))
 	is.Equal(s.instance.counters.readsOnReplica.Count(), int64(1))
 }
+
+// TestReadOnARemovedReplicaNeedsAMajority guards against a read that counts the replica on which it
+// ran as a member of the group after a configuration removed it, or removed the group.
+func TestReadOnARemovedReplicaNeedsAMajority(t *testing.T) {
+	is := is.New(t)
+	m := &Member{Name: "r", Status: core.Status{Role: core.RoleReplica}}
+	p := core.Point{Term: 1, Position: 50}
+	members := func(names ...core.Endpoint) map[core.Endpoint]*Member {
+		found := make(map[core.Endpoint]*Member)
+		for _, n := range names {
+			found[n] = &Member{Name: n}
+		}
+		return found
+	}
+	is.True((&GroupState{Term: 1, Members: members("p", "q", "r")}).isDurable(m, p))
+	is.True(!(&GroupState{Term: 1, Members: members("p", "q")}).isDurable(m, p))
+	is.True(!(&GroupState{Term: 1}).isDurable(m, p))
+	is.True((&GroupState{Term: 1, Members: members("p", "q"), Confirmed: p}).isDurable(m, p))
+}
--- a/instance/write.go
+++ b/instance/write.go
@@ -16,6 +16,7 @@
 	rollbackStatement      = "ROLLBACK"
 
 	rollbackTag = "ROLLBACK"
+	resetTag    = "RESET"
 	// sqlStateReadOnly is the SQLSTATE of a write on an endpoint that accepts
 	// no writes.
 	sqlStateReadOnly = "25006"
@@ -43,6 +44,8 @@
 	exchange *exchange
 	// isLast is true if the pipeline is not retried after this attempt.
 	isLast bool
+	// isCommitSent is true once the commit of a submission was sent.
+	isCommitSent bool
 }
 
 // serveWrite runs a pipeline on the primary and answers once a majority holds
@@ -51,7 +54,7 @@
 	for attempts := 1; ; attempts++ {
 		a, e := s.acquirePrimary(pl)
 		if e != nil {
-			return s.refuse(e)
+			return s.refuseWrite(pl, e)
 		}
 		a.isLast = attempts >= maxWriteAttempts
 		retry, err := a.write()
@@ -61,6 +64,14 @@
 	}
 }
 
+// refuseWrite refuses a write of which nothing ran in the last attempt; an earlier one may have run.
+func (s *session) refuseWrite(pl *pipeline, e *core.Error) error {
+	if pl.mayHaveRun {
+		return s.outcomeUnknown()
+	}
+	return s.refuse(e)
+}
+
 // newAttempt acquires a connection to a member for a pipeline.
 func (s *session) newAttempt(pl *pipeline, m *Member, term uint64) (*attempt, *core.Error) {
 	conn, e := m.pool.acquire(admissionRequest{caller: s.login.Caller, deadline: pl.deadline, work: workKind(pl)})
@@ -103,9 +114,9 @@
 		a.session.attempt = nil
 		a.session.clearRunning()
 		a.member.pool.releaseSlot(a.conn)
-		return false, a.session.sendReady(o.status)
+		return false, a.session.finishInTransaction(a.pipeline, a.term, status, o, a.exchange)
 	}
-	if o.sqlState == "" && a.pipeline.simple && isSetStatement(a.pipeline.sql) {
+	if o.sqlState == "" && !o.hasOtherThanSet && a.pipeline.simple && isSetStatement(a.pipeline.sql) {
 		return false, a.recordSetting()
 	}
 	a.release(true)
@@ -118,9 +129,9 @@
 // releaseIfPrimaryReplaced reports whether a write that was rejected as
 // read-only reached an endpoint that is no longer the primary. If so, it
 // releases the connection, and the write, of which nothing ran, may be retried
-// at the next primary.
+// at the next primary. A statement whose first rows were sent is not.
 func (a *attempt) releaseIfPrimaryReplaced(status core.Status) bool {
-	if a.isLast || isPrimary(status, a.term) || time.Now().After(a.pipeline.deadline) {
+	if a.isLast || a.exchange.streamed || isPrimary(status, a.term) || time.Now().After(a.pipeline.deadline) {
 		return false
 	}
 	a.exchange.truncate()
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -130,6 +130,9 @@
 	_ = caller.Ready() // Run finds that the caller has left, and ends the session at the home instance
 	end := r.Run()
 	p.counts.relayEnds[end.Cause].Inc(1)
+	if end.Panic != nil {
+		p.recordPanic(end.Panic, end.PanicStack)
+	}
 	if end.Answer == nil {
 		return
 	}
