--- a/proxy/relay_test.go
+++ b/proxy/relay_test.go
@@ -91,29 +91,6 @@
 	is.NoErr(receive(t, sim.done, "end of the instance"))
 }
 
-// TestStopGivesUpRelays guards against a process that exits, at the end of a planned stop, while
-// a statement that it relayed has no answer.
-func TestStopGivesUpRelays(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
-	sim := newNonHomeSimulation(t)
-	sim.proxy.settings.GracePeriod = 2 * time.Second
-	givenUp := make(chan struct{})
-	sim.relay = func(Peer) (*Relay, error) {
-		return &Relay{
-			Run:    func() RelayEnd { <-givenUp; return RelayEnd{Cause: RelayHomeClosed} },
-			Stop:   func(bool) {}, // a statement is running
-			GiveUp: func() { close(givenUp) },
-		}, nil
-	}
-	sim.startNonHome()
-	sim.open("a", "bounded")
-	sim.waitFor(func() bool { return sim.proxy.sessionCount() == 1 })
-	close(sim.stop)
-	is.NoErr(receive(t, sim.done, "end of the instance"))
-	receive(t, givenUp, "end of the relayed session")
-}
-
 // TestPanicInRelayIsRecorded checks that a panic which ended a relayed session is counted like one
 // of a session that is served here.
 func TestPanicInRelayIsRecorded(t *testing.T) {
