Replace a connection of another organisation while an endpoint accepts no more

Cause: after a loss of power endpoints keep the connections of the dead instances for 3 s, 48 of 60 on the shifted site, and accept 12 from four homes.

The sum: 12 connections x 1 / (12 ms to open + 14 ms to run) = 460 statements a second for each endpoint if each needs a new one; its 3 slots allow 115, 2,770 on 24 endpoints, and 900 operations a second are asked. So connections bind only if they are kept for organisations that send nothing.

Change: the mix counts what the endpoint holds when it turns a connection away, and until more may be asked for closes an idle one for each that it opens, at most one without success. Statements are refused only if nothing can be replaced.

TestMix, the load after a loss of power: before, statements wait for ever.

--- a/core/home/handover.go
+++ b/core/home/handover.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// Assign records an assignment. All homes of the first one are new: an instance that starts
-// does not know which instances they replace.
+// Assign records an assignment. The homes of a group's first one are not new: it is not known
+// which instances they replace, if any.
 func (h *Handover) Assign(now time.Time, homes map[core.Group][]core.Instance) {
 	if h.homes == nil {
 		h.startedAt, h.endedAt = make(moves), make(moves)
--- a/core/pool/mix.go
+++ b/core/pool/mix.go
@@ -49,6 +49,10 @@
 	// opened holds the organisations whose openings succeeded and left their places in flight
 	// to a statement.
 	opened []core.Organisation
+	// accepted is how many connections the endpoint held when it turned one away, and isFull
+	// is set until more may be asked for.
+	accepted int
+	isFull   bool
 	// replacing is set from the step that closes a connection to make room for another
 	// until one is established: at most one working connection is lost to openings that fail.
 	replacing bool
@@ -160,6 +164,22 @@
 	m.Closed(o)
 }
 
+// TurnedAway records that the endpoint accepts no more connections than it holds. Until more
+// may be opened, one that is idle is closed for each that is opened.
+func (m *Mix) TurnedAway() { m.isFull, m.accepted = true, m.Open-m.Opening }
+
+// CanReplace reports whether connections can be opened in the place of others although the
+// endpoint accepts no more.
+func (m *Mix) CanReplace() bool { return m.isFull && !m.replacing && m.Open > m.Opening }
+
+// maxOpen is MaxOpen, or less while the endpoint accepts less.
+func (m *Mix) maxOpen() int {
+	if m.isFull {
+		return min(m.MaxOpen, m.accepted)
+	}
+	return m.MaxOpen
+}
+
 // Established records that the endpoint accepted a connection, also one of Reserve.
 func (m *Mix) Established() { m.replacing = false }
 
@@ -240,7 +260,7 @@
 func (m *Mix) Free(o core.Organisation) int {
 	a, ok := m.organisations[o]
 	hasConnection := ok && a.idle+a.opening > 0
-	if !hasConnection && m.Open >= m.MaxOpen && (len(m.idle) == 0 || m.replacing) {
+	if !hasConnection && m.Open >= m.maxOpen() && (len(m.idle) == 0 || m.replacing) {
 		return 0
 	}
 	return max(0, m.MaxInFlight-m.InFlight)
@@ -274,10 +294,12 @@
 // Next returns what has to be done next for the waiting statements; openings are already
 // recorded. Statements and openings take turns if both wait for a place in flight; the
 // place of an opening passes to a statement of its organisation.
-// Connections are opened only if mayOpen is set. Proves reports whether a connection
+// Without mayOpen, connections are opened only in the place of others, and only if the
+// endpoint turned one away. Proves reports whether a connection
 // proves the endpoint's uptime; the last idle one that does is closed only if no other
 // is idle.
 func (m *Mix) Next(now time.Time, mayOpen bool, proves func(id uint64) bool) Step {
+	m.isFull = m.isFull && !mayOpen
 	if len(m.waiting) == 0 || m.InFlight >= m.MaxInFlight {
 		m.opened = m.opened[:0]
 		return Step{}
@@ -286,7 +308,7 @@
 		return Step{Kind: StepRun, IsUsable: func(other core.Organisation) bool { return other == o }}
 	}
 	canRun := slices.ContainsFunc(m.idle, func(c idleConnection) bool { return c.account.waiting > 0 && m.canRun(c.account) })
-	if mayOpen && (m.ranLast || !canRun) {
+	if (mayOpen || m.isFull) && (m.ranLast || !canRun) {
 		if s := m.nextOpening(now, proves); s.Kind != StepNone {
 			return s
 		}
@@ -312,7 +334,7 @@
 
 // nextOpening returns the step towards the next opening, if one is needed and possible.
 func (m *Mix) nextOpening(now time.Time, proves func(id uint64) bool) Step {
-	isFull := m.Open >= m.MaxOpen
+	isFull := m.Open >= m.maxOpen()
 	if m.InFlight+m.Opening >= m.MaxInFlight || isFull && (m.replacing || len(m.idle) == 0) {
 		return Step{}
 	}
--- a/core/pool/mix_test.go
+++ b/core/pool/mix_test.go
@@ -20,6 +20,8 @@
 	openingTime = 12 * time.Millisecond
 	// simulationStep is the time between two steps of the simulation.
 	simulationStep = time.Millisecond
+	// turnedAwayPause is how long no connection more is asked for after one was turned away.
+	turnedAwayPause = 300 * time.Millisecond
 )
 
 // mixLoad is the load of a simulated endpoint.
@@ -29,7 +31,10 @@
 	// once sends one statement of each organisation at the start instead.
 	once        bool
 	connections int
-	inFlight    int
+	// accepted is how many connections the endpoint accepts in the first seconds; zero stands
+	// for as many as are asked for.
+	accepted int
+	inFlight int
 	// service is how long a statement runs.
 	service  time.Duration
 	duration time.Duration
@@ -57,6 +62,9 @@
 	used   map[uint64]bool
 	lastID uint64
 
+	// mayOpenAt is when connections may be opened after the endpoint turned one away.
+	mayOpenAt time.Time
+
 	served, opened, replaced int
 	waits                    map[core.Organisation][]time.Duration
 	fault                    string
@@ -108,6 +116,12 @@
 		if s.now.Before(r.endsAt) {
 			return false
 		}
+		if r.conn == 0 && s.turnsAway() {
+			s.mix.OpeningFailed(r.Organisation)
+			s.mix.TurnedAway()
+			s.mayOpenAt = s.now.Add(turnedAwayPause)
+			return true
+		}
 		if r.conn == 0 {
 			s.mix.Opened(r.Organisation)
 			s.opened++
@@ -122,11 +136,16 @@
 	})
 }
 
+// turnsAway reports whether the endpoint accepts no more connections.
+func (s *mixSimulation) turnsAway() bool {
+	return s.load.accepted > 0 && len(s.owners) >= s.load.accepted
+}
+
 func (s *mixSimulation) dispatch() {
 	none := func(uint64) bool { return false }
 	for {
 		open, opening := s.mix.Open, s.mix.Opening
-		step := s.mix.Next(s.now, true, none)
+		step := s.mix.Next(s.now, !s.now.Before(s.mayOpenAt), none)
 		if want := s.stepOfOne(open, opening); len(s.load.rates) == 1 && step.Kind != want {
 			s.fault = fmt.Sprintf("%q instead of %q", step.Kind, want)
 			return
@@ -231,6 +250,7 @@
 		scan("tenths", &times)
 		scan("seconds", &seconds)
 		scan("connections", &l.connections)
+		scan("accepted", &l.accepted)
 		scan("inflight", &l.inFlight)
 		scan("ms", &ms)
 		l.service, l.duration, l.once = time.Duration(ms)*time.Millisecond, time.Duration(seconds)*time.Second, d.HasArg("once")
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -377,6 +377,7 @@
 func (e *endpoint) recordFullLocked(now time.Time, err error) {
 	var endpointErr *EndpointError
 	if errors.As(err, &endpointErr) && endpointErr.Kind == ErrorKindConnections {
+		e.mix.TurnedAway()
 		e.fullUntil = now.Add(e.groupControl.control.proxy.fullBackoff())
 		e.reconnectAt = e.fullUntil
 	}
--- a/proxy/endpoint_conn.go
+++ b/proxy/endpoint_conn.go
@@ -199,9 +199,9 @@
 }
 
 // isUnreachableLocked reports whether no connection can serve an organisation and none may
-// be opened yet.
+// be opened yet, nor in the place of another one.
 func (e *endpoint) isUnreachableLocked(now time.Time, o core.Organisation) bool {
-	return e.mix.Connected(o) == 0 && now.Before(e.reconnectAt)
+	return e.mix.Connected(o) == 0 && now.Before(e.reconnectAt) && !e.mix.CanReplace()
 }
 
 // dispatchLocked grants connections to waiters and opens and closes connections for them,
@@ -306,7 +306,7 @@
 	e.mix.OpeningFailed(o)
 	e.reconnectAt = now.Add(reconnectDelay)
 	e.recordFullLocked(now, err)
-	e.rejectWaitersLocked(func(waiting core.Organisation) bool { return !e.mix.CanServe(waiting) }, core.NewError(core.CodeNoConnection, "could not connect to %s", e.info.Name).WithRetry(e.reconnectAt.Sub(now)))
+	e.rejectWaitersLocked(func(waiting core.Organisation) bool { return !e.mix.CanServe(waiting) && !e.mix.CanReplace() }, core.NewError(core.CodeNoConnection, "could not connect to %s", e.info.Name).WithRetry(e.reconnectAt.Sub(now)))
 	e.dispatchLocked(now)
 }
 
