Assign homes without sorting all instances for each group

Cause: an instance assigns all homes anew whenever the list or the slots of a group change, some 80 times at a start of 300 instances with 80 groups, at 25 ms each: every instance was sorted for every group, and each comparison computed two logarithms.

Change: the candidates of each data centre are kept to as many as can be chosen, the score of a draw is computed once, and not at all for one whose hash alone shows that others come first.

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -78,12 +78,12 @@
 		total += Count(l, len(dataCentres), len(live))
 	}
 	meanShare := max(minShare, shareSlack*float64(total)/float64(max(1, len(live))))
-	weights := weights(live, homeMbps)
+	centres := byDataCentre(live, weights(live, homeMbps))
 	homes := make(map[core.Group][]core.Instance, len(groups))
 	assigned := make(map[core.Instance]int, len(live))
+	isFull := func(i core.Instance, weight float64) bool { return float64(assigned[i]) >= meanShare*weight }
 	for _, g := range slices.Sorted(maps.Keys(groups)) {
-		isFull := func(i core.Instance) bool { return float64(assigned[i]) >= meanShare*weights[i] }
-		homes[g] = choose(g, live, Count(groups[g], len(dataCentres), len(live)), weights, isFull)
+		homes[g] = choose(g, centres, Count(groups[g], len(dataCentres), len(live)), isFull)
 		for _, i := range homes[g] {
 			assigned[i]++
 		}
@@ -104,43 +104,85 @@
 	return moved
 }
 
-// choose returns n home instances of a group, those that are full last in their data
-// centre.
-func choose(g core.Group, live []Instance, n int, weights map[core.Instance]float64, isFull func(core.Instance) bool) []core.Instance {
-	ranked := make([]rankedInstance, 0, len(live))
+// candidates are the instances of one data centre.
+type candidates struct {
+	instances []core.Instance
+	weights   []float64
+	// first are those that come first for a group, the most preferred one first.
+	first []ranked
+}
+
+// ranked is an instance in the order of preference for a group.
+type ranked struct {
+	draw draw
+	// isFull is set if it has its share of the groups; it comes after those that have not.
+	isFull bool
+	// rank counts the instances of the same data centre that come before.
+	rank int
+}
+
+func (r ranked) compare(other ranked) int {
+	if r.isFull != other.isFull {
+		if r.isFull {
+			return 1
+		}
+		return -1
+	}
+	return r.draw.compare(other.draw)
+}
+
+// byDataCentre divides instances by their data centres.
+func byDataCentre(live []Instance, weights map[core.Instance]float64) []*candidates {
+	centres := make(map[core.DataCentre]*candidates)
+	var list []*candidates
 	for _, i := range live {
-		ranked = append(ranked, rankedInstance{Instance: i, full: isFull(i.Name), draw: draw{instance: i.Name, hash: groupHash(g, i.Name), weight: weights[i.Name]}})
+		c := centres[i.DataCentre]
+		if c == nil {
+			c = &candidates{}
+			centres[i.DataCentre] = c
+			list = append(list, c)
+		}
+		c.instances = append(c.instances, i.Name)
+		c.weights = append(c.weights, weights[i.Name])
 	}
-	slices.SortFunc(ranked, func(a, b rankedInstance) int {
-		if a.full != b.full {
-			if a.full {
-				return 1
-			}
-			return -1
+	return list
+}
+
+// rank sets the n instances that come first for a group.
+func (c *candidates) rank(g *hasher, n int, isFull func(i core.Instance, weight float64) bool) {
+	c.first = c.first[:0]
+	for k, i := range c.instances {
+		hash := g.hash(i)
+		if len(c.first) == n && !c.first[n-1].isFull && minScore(hash, c.weights[k]) > c.first[n-1].draw.score {
+			continue
 		}
-		return a.draw.compare(b.draw)
-	})
-	instancesIn := make(map[core.DataCentre]int)
-	for k := range ranked {
-		i := &ranked[k]
-		i.rankInDataCentre = instancesIn[i.DataCentre]
-		instancesIn[i.DataCentre]++
+		r := ranked{draw: newDraw(i, hash, c.weights[k]), isFull: isFull(i, c.weights[k])}
+		if len(c.first) == n && r.compare(c.first[n-1]) >= 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(c.first, r, ranked.compare)
+		c.first = slices.Insert(c.first[:min(len(c.first), n-1)], at, r)
 	}
-	slices.SortStableFunc(ranked, func(a, b rankedInstance) int { return cmp.Compare(a.rankInDataCentre, b.rankInDataCentre) })
-	homes := make([]core.Instance, 0, n)
-	for _, i := range ranked[:n] {
-		homes = append(homes, i.Name)
+	for k := range c.first {
+		c.first[k].rank = k
 	}
-	return homes
 }
 
-// rankedInstance is an instance in the order of preference for a group.
-type rankedInstance struct {
-	Instance
-	full bool
-	draw draw
-	// rankInDataCentre counts the instances of the same data centre that come before.
-	rankInDataCentre int
+// choose returns n home instances of a group, those that are full last in their data
+// centre.
+func choose(g core.Group, centres []*candidates, n int, isFull func(i core.Instance, weight float64) bool) []core.Instance {
+	h := newHasher(g)
+	var chosen []ranked
+	for _, c := range centres {
+		c.rank(h, n, isFull)
+		chosen = append(chosen, c.first...)
+	}
+	slices.SortFunc(chosen, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.rank, b.rank), a.compare(b)) })
+	homes := make([]core.Instance, 0, n)
+	for _, r := range chosen[:n] {
+		homes = append(homes, r.draw.instance)
+	}
+	return homes
 }
 
 // Monitored returns the group that an instance without a group of its own watches; such
@@ -155,6 +197,21 @@
 }
 
 // groupHash is an instance's rendezvous hash for a group.
-func groupHash(g core.Group, i core.Instance) uint64 {
-	return xxhash.Sum64String(string(g) + "\x00" + string(i))
+func groupHash(g core.Group, i core.Instance) uint64 { return newHasher(g).hash(i) }
+
+// hasher computes the rendezvous hashes for a group.
+type hasher struct {
+	// text holds the group's name and a separator, and room for an instance's name.
+	text   []byte
+	prefix int
+}
+
+func newHasher(g core.Group) *hasher {
+	text := append([]byte(g), 0)
+	return &hasher{text: text, prefix: len(text)}
+}
+
+func (h *hasher) hash(i core.Instance) uint64 {
+	h.text = append(h.text[:h.prefix], i...)
+	return xxhash.Sum64(h.text)
 }
--- a/core/home/strength.go
+++ b/core/home/strength.go
@@ -71,18 +71,26 @@
 	instance core.Instance
 	hash     uint64
 	weight   float64
+	// score is distributed exponentially at a rate of the weight, and rises with the hash.
+	score float64
+}
+
+func newDraw(i core.Instance, hash uint64, weight float64) draw {
+	return draw{instance: i, hash: hash, weight: weight, score: -math.Log1p(-float64(hash)*0x1p-64) / weight}
+}
+
+// minScore is a lower bound of a draw's score that takes no logarithm, less a margin for
+// rounding.
+func minScore(hash uint64, weight float64) float64 {
+	const margin = 1e-9
+	return float64(hash) * 0x1p-64 / weight * (1 - margin)
 }
 
 // compare orders draws; at equal weights the lower hash comes first.
 func (d draw) compare(other draw) int {
 	byWeight := 0
 	if d.weight != other.weight {
-		byWeight = cmp.Compare(d.score(), other.score())
+		byWeight = cmp.Compare(d.score, other.score)
 	}
 	return cmp.Or(byWeight, cmp.Compare(d.hash, other.hash), cmp.Compare(d.instance, other.instance))
 }
-
-// score is distributed exponentially at a rate of the weight, and rises with the hash.
-func (d draw) score() float64 {
-	return -math.Log1p(-math.Ldexp(float64(d.hash), -64)) / d.weight
-}
--- a/core/home/watcher.go
+++ b/core/home/watcher.go
@@ -23,7 +23,7 @@
 	weights := weights(centre, watcherMbps)
 	draws := make([]draw, 0, len(centre))
 	for _, i := range centre {
-		draws = append(draws, draw{instance: i.Name, hash: xxhash.Sum64String(string(i.Name)), weight: weights[i.Name]})
+		draws = append(draws, newDraw(i.Name, xxhash.Sum64String(string(i.Name)), weights[i.Name]))
 	}
 	slices.SortFunc(draws, draw.compare)
 	n := max(minWatchers, (len(draws)+followersPerWatcher)/(followersPerWatcher+1))
