--- a/core/home/assign_test.go
+++ b/core/home/assign_test.go
@@ -29,8 +29,8 @@
 	assigned := make(map[core.Instance]int)
 	for _, g := range slices.Sorted(maps.Keys(groups)) {
 		type candidate struct {
-			Instance
-			ranked
+			instance Instance
+			ranked   ranked
 		}
 		var list []candidate
 		for _, i := range live {
@@ -40,13 +40,14 @@
 		slices.SortFunc(list, func(a, b candidate) int { return a.ranked.compare(b.ranked) })
 		in := make(map[core.DataCentre]int)
 		for k := range list {
-			list[k].rank = in[list[k].DataCentre]
-			in[list[k].DataCentre]++
+			c := &list[k]
+			c.ranked.rank = in[c.instance.DataCentre]
+			in[c.instance.DataCentre]++
 		}
-		slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
+		slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(a.ranked.rank, b.ranked.rank) })
 		for _, c := range list[:Count(groups[g], len(dataCentres), len(live))] {
-			homes[g] = append(homes[g], c.Name)
-			assigned[c.Name]++
+			homes[g] = append(homes[g], c.instance.Name)
+			assigned[c.instance.Name]++
 		}
 	}
 	return homes
