Keep a group while a statement of it runs, however long

Cause: an instance that is no home of a group left it 4 s after the last statement or transaction began or ended, also while a write of a route with a longer timeout waited for its confirmation, which then never came.

Change: the group counts running statements, commits and open transactions, and is left 4 s after the last one ended.

TestRunningStatementKeepsGroup: without the count the write gets 3001 after 4.1 s.

--- a/core/home/tenure_test.go
+++ b/core/home/stops_test.go
@@ -44,7 +44,7 @@
 // part is what an instance has of a group.
 type part struct {
 	isHome bool
-	tenure Tenure
+	nonHome NonHome
 	// connections hold until when each is in use.
 	connections []time.Time
 }
@@ -97,7 +97,7 @@
 		}
 		isHome := slices.Contains(homes, i.Name)
 		if p.isHome && !isHome {
-			p.tenure.Since = f.now
+			p.nonHome.Since = f.now
 		}
 		p.isHome = isHome
 	}
@@ -106,17 +106,17 @@
 // use advances the connections of an instance to the endpoint of a group.
 func (f *stoppingFleet) use(i *stoppingInstance, g core.Group, p *part) {
 	share := i.handover.Share(f.now, g, i.Name, f.limits.Connections)
-	hasSessions := p.isHome || !p.tenure.Since.IsZero() && !p.tenure.EndsSessions(f.now)
+	hasSessions := p.isHome || !p.nonHome.Since.IsZero() && !p.nonHome.EndsSessions(f.now)
 	slices.SortFunc(p.connections, func(a, b time.Time) int { return b.Compare(a) })
 	for n, until := range p.connections {
 		switch {
 		case f.now.Before(until):
-		case n >= share || !p.isHome && p.tenure.IsOver(f.now):
+		case n >= share || !p.isHome && p.nonHome.MayLeave(f.now):
 			p.connections = p.connections[:n] // the rest is idle as well
 			return
 		case hasSessions:
 			p.connections[n] = f.now.Add(time.Duration(f.random.Int64N(int64(statementTime))))
-			p.tenure.UsedAt = f.now
+			p.nonHome.UsedAt = f.now
 		}
 	}
 	for hasSessions && len(p.connections) < share {
--- a/proxy/control.go
+++ b/proxy/control.go
@@ -250,7 +250,7 @@
 		g.configure(now, members[name], settings, c.homes[name])
 		next.groups[name] = g.group
 		next.isHome[name] = c.isHome(name)
-		g.updateTenure(now, next.isHome[name])
+		g.updateNonHome(now, next.isHome[name])
 	}
 	for name, g := range c.groups {
 		if _, ok := next.groups[name]; !ok {
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -57,10 +57,10 @@
 	waitingForPrimary atomic.Int64
 	// lost is true while this instance does not reach enough endpoints to serve the group.
 	lost atomic.Bool
-	// lastUsedAt is when a statement last used the group, in nanoseconds since 1970, and
-	// transactions counts the open ones.
-	lastUsedAt   atomic.Int64
-	transactions atomic.Int64
+	// uses counts the statements that run and the open transactions, and lastUsedAt is when
+	// one last began or ended, in nanoseconds since 1970.
+	uses       atomic.Int64
+	lastUsedAt atomic.Int64
 	// fallbackUntil is until when this instance, no home instance of the group, serves new
 	// sessions without trying the home instances, in nanoseconds since 1970; zero if the
 	// last session that was tried there was accepted.
@@ -82,6 +82,18 @@
 	endpoints []*endpoint
 }
 
+// beginUse records that a statement or a transaction begins at now.
+func (g *group) beginUse(now time.Time) {
+	g.uses.Add(1)
+	g.lastUsedAt.Store(now.UnixNano())
+}
+
+// endUse records that a statement or a transaction ended at now.
+func (g *group) endUse(now time.Time) {
+	g.lastUsedAt.Store(now.UnixNano())
+	g.uses.Add(-1)
+}
+
 // watch returns the current snapshot and a channel that is closed when it is replaced.
 func (g *group) watch() (*groupState, <-chan struct{}) {
 	g.mu.Lock()
--- a/proxy/home_instances.go
+++ b/proxy/home_instances.go
@@ -163,7 +163,7 @@
 		return true
 	}
 	g := c.groups[name]
-	return g != nil && !g.tenure().IsOver(now)
+	return g != nil && !g.nonHome().MayLeave(now)
 }
 
 // updateGroups adapts this instance's shares of connections, ends the sessions of the groups
@@ -172,7 +172,7 @@
 	c.groupsUpdatedAt = now
 	mayLeave := false
 	for name, g := range c.groups {
-		g.updateTenure(now, c.isHome(name))
+		g.updateNonHome(now, c.isHome(name))
 		g.updateShares(now)
 		mayLeave = mayLeave || !c.shouldConnect(now, name)
 	}
@@ -188,17 +188,17 @@
 	return len(homes) == 0 || slices.Contains(homes, c.self())
 }
 
-// tenure describes the use of a group of which this instance is no home instance.
-func (g *groupControl) tenure() home.Tenure {
-	return home.Tenure{
+// nonHome describes the use of a group of which this instance is no home instance.
+func (g *groupControl) nonHome() home.NonHome {
+	return home.NonHome{
 		Since: g.nonHomeSince, FallbackUntil: time.Unix(0, g.group.fallbackUntil.Load()),
-		UsedAt: time.Unix(0, g.group.lastUsedAt.Load()), Transactions: int(g.group.transactions.Load()),
+		Uses: int(g.group.uses.Load()), UsedAt: time.Unix(0, g.group.lastUsedAt.Load()),
 	}
 }
 
-// updateTenure ends the sessions that rest of a group of which this instance is no longer a
+// updateNonHome ends the sessions that rest of a group of which this instance is no longer a
 // home instance, or which it served while the home instances accepted none.
-func (g *groupControl) updateTenure(now time.Time, isHome bool) {
+func (g *groupControl) updateNonHome(now time.Time, isHome bool) {
 	if isHome {
 		g.nonHomeSince = time.Time{}
 		return
@@ -206,7 +206,7 @@
 	if g.nonHomeSince.IsZero() {
 		g.nonHomeSince = now
 	}
-	if !g.tenure().EndsSessions(now) {
+	if !g.nonHome().EndsSessions(now) {
 		return
 	}
 	p := g.control.proxy
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -315,6 +315,8 @@
 	if err != nil {
 		return s.fail(err)
 	}
+	g.beginUse(s.proxy.now())
+	defer func() { g.endUse(s.proxy.now()) }()
 	if access == KindRead {
 		return s.read(st, r, g, arrived)
 	}
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -356,13 +356,39 @@
 	g := sim.proxy.placement.Load().groups["g"]
 	g.lastUsedAt.Store(sim.proxy.now().Add(-time.Minute).UnixNano()) // the transaction began then
 	is.NoErr(c.send(st).Err)
+	sim.reconcile()
+	is.Equal(describe(c.send(Statement{ID: "4", Kind: KindCommit})), commit)
+}
+
+// TestRunningStatementKeepsGroup guards against an instance that is no home instance of a group
+// and leaves it while a write waits for its confirmation.
+func TestRunningStatementKeepsGroup(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sim := newNonHomeSimulation(t)
+	sim.relay = func(Peer) (*Relay, error) { return nil, errNoHome }
+	sim.startNonHome()
+	c := sim.open("a", "newest")
+	is.NoErr(c.send(Statement{ID: "1", Kind: KindWrite}).Err)
+	sim.setField(sim.find("p"), "delay", "150ms")
+	answered := make(chan Answer, 1)
+	go func() { answered <- c.send(Statement{ID: "2", Kind: KindWrite}) }()
+	g := sim.proxy.placement.Load().groups["g"]
+	sim.waitFor(func() bool { return g.uses.Load() == 1 })
+	g.lastUsedAt.Store(sim.proxy.now().Add(-time.Minute).UnixNano()) // it began then
+	sim.reconcile()
+	is.Equal(describe(receive(t, answered, "answer")), "p at 1.12 map[]; signed by p idle")
+}
+
+// reconcile makes the instance join and leave groups.
+func (s *simulation) reconcile() {
+	s.t.Helper()
 	done := make(chan struct{})
-	sim.proxy.control.post(t.Context(), func(time.Time) {
-		sim.proxy.control.reconcileGroups()
+	s.proxy.control.post(s.t.Context(), func(time.Time) {
+		s.proxy.control.reconcileGroups()
 		close(done)
 	})
-	receive(t, done, "assignment of the groups")
-	is.Equal(describe(c.send(Statement{ID: "4", Kind: KindCommit})), commit)
+	receive(s.t, done, "assignment of the groups")
 }
 
 // TestPanicInRollback guards against a panic that ends the whole process: a rollback is answered
--- a/proxy/transaction.go
+++ b/proxy/transaction.go
@@ -54,7 +54,7 @@
 		return s.fail(core.NewError(core.CodeDraining, "the session ends; no transaction began").WithRetry(defaultRetryAfter))
 	}
 	s.tx = &transaction{readOnly: st.ReadOnly, beganAt: arrived, route: r, group: g}
-	g.transactions.Add(1)
+	g.beginUse(s.proxy.now())
 	return s.done()
 }
 
@@ -227,6 +227,8 @@
 			return s.fail(transactionError(err))
 		}
 	}
+	tx.group.beginUse(s.proxy.now())
+	defer func() { tx.group.endUse(s.proxy.now()) }()
 	c := commit{endpoint: tx.conn.endpoint, sentAt: s.proxy.now(), term: tx.term, route: tx.route, group: tx.group}
 	tx.conn.beginStatement()
 	a, err := s.exchange(tx.conn, s.exchangeTimeout(tx.route, arrived), st, false)
@@ -266,11 +268,9 @@
 	s.leaveTransaction()
 }
 
-// leaveTransaction forgets the transaction. The group stays in use, because the outcome may
-// have to be confirmed.
+// leaveTransaction forgets the transaction.
 func (s *session) leaveTransaction() {
-	s.tx.group.lastUsedAt.Store(s.proxy.now().UnixNano())
-	s.tx.group.transactions.Add(-1)
+	s.tx.group.endUse(s.proxy.now())
 	s.tx = nil
 	s.inTransaction.Store(false)
 }
