--- a/core/home/stops_test.go
+++ b/core/home/stops_test.go
@@ -43,7 +43,7 @@
 
 // part is what an instance has of a group.
 type part struct {
-	isHome bool
+	isHome  bool
 	nonHome NonHome
 	// connections hold until when each is in use.
 	connections []time.Time
