--- a/core/home/handover.go
+++ b/core/home/handover.go
@@ -24,8 +24,8 @@
 // Handover divides the connections to endpoints while homes of their groups move. An
 // endpoint accepts one share more than its group has homes: former homes and new ones divide
 // that share, until the former ones have left and the new ones replace them. Together all
-// stay below the limit, however many homes move, if all instances learn of it within
-// takeoverDelay.
+// stay at or below the limit if they learn of a move within takeoverDelay, unless most homes
+// of a group move within that time.
 type Handover struct {
 	homes map[core.Group][]core.Instance
 	// startedAt is when each new home became one, and endedAt when each former one ceased
--- a/core/home/non_home.go
+++ b/core/home/non_home.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	// sessionGrace is how long an instance serves on the sessions of a group whose homes are
-	// other instances: the list of instances may change back, and lists differ for a moment.
+	// sessionGrace is how long an instance goes on serving idle sessions of a group whose homes
+	// are other instances: the list may change back, and lists differ for a moment.
 	sessionGrace = 500 * time.Millisecond
-	// minRetention is how long it keeps such a group after the last use, in which the next one
-	// of the same caller comes as a rule.
+	// minRetention is how long it stays in such a group after the last use: joining it again
+	// takes new connections and samples.
 	minRetention = 4 * time.Second
 )
 
@@ -24,8 +24,8 @@
 	UsedAt time.Time
 }
 
-// EndsSessions reports whether the sessions that rest have to end, so that their callers'
-// next ones are relayed to a home.
+// EndsSessions reports whether idle sessions have to end, so that their callers' next ones
+// are relayed to a home.
 func (n NonHome) EndsSessions(now time.Time) bool {
 	return now.Sub(n.Since) >= sessionGrace && now.Sub(n.FallbackUntil) >= sessionGrace
 }
--- a/core/pool/mix.go
+++ b/core/pool/mix.go
@@ -49,8 +49,8 @@
 	// opened holds the organisations whose openings succeeded and left their places in flight
 	// to a statement.
 	opened []core.Organisation
-	// accepted is how many connections the endpoint held when it turned one away, and isFull
-	// is set until more may be asked for.
+	// isFull is set from the time at which the endpoint turned a connection away until more
+	// may be opened, and accepted is how many it held then.
 	accepted int
 	isFull   bool
 	// replacing is set from the step that closes a connection to make room for another
@@ -334,8 +334,8 @@
 
 // nextOpening returns the step towards the next opening, if one is needed and possible.
 func (m *Mix) nextOpening(now time.Time, proves func(id uint64) bool) Step {
-	isFull := m.Open >= m.maxOpen()
-	if m.InFlight+m.Opening >= m.MaxInFlight || isFull && (m.replacing || len(m.idle) == 0) {
+	atLimit := m.Open >= m.maxOpen()
+	if m.InFlight+m.Opening >= m.MaxInFlight || atLimit && (m.replacing || len(m.idle) == 0) {
 		return Step{}
 	}
 	var next *Waiting
@@ -349,7 +349,7 @@
 		return Step{}
 	}
 	step := Step{Kind: StepOpen, Organisation: next.Organisation}
-	if isFull {
+	if atLimit {
 		id, ok := m.leastNeeded(now, proves, next)
 		if !ok {
 			return Step{}
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -110,8 +110,8 @@
 	return &endpoint{info: info, groupControl: g, waiters: make(map[uint64]chan grant), mix: pool.NewMix(), idle: make(map[uint64]*endpointConn)}
 }
 
-// setShare sets the limits on connections and on statements, given the number of home
-// instances that share the endpoint's slots.
+// setShare limits the connections to this instance's share, and the statements to that of
+// one of the home instances.
 func (e *endpoint) setShare(connections, homes int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/proxy/home_instances.go
+++ b/proxy/home_instances.go
@@ -196,8 +196,8 @@
 	}
 }
 
-// updateNonHome ends the sessions that rest of a group of which this instance is no longer a
-// home instance, or which it served while the home instances accepted none.
+// updateNonHome ends idle sessions of a group of which this instance is no longer a home
+// instance, or which it served while the home instances accepted none.
 func (g *groupControl) updateNonHome(now time.Time, isHome bool) {
 	if isHome {
 		g.nonHomeSince = time.Time{}
