--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -34,6 +34,8 @@
 	// acks are the commits that clients saw acknowledged.
 	acks  []ack
 	taken atomic.Bool
+	// cutOff is a backend that is partitioned from the others and from the store.
+	cutOff *Backend
 }
 
 type ack struct {
@@ -57,6 +59,7 @@
 	state   string
 	// leaves is when an old primary steps down by itself.
 	leaves   time.Time
+	reached  time.Time
 	listener net.Listener
 	conns    map[net.Conn]bool
 	silent   map[net.Conn]bool
@@ -64,6 +67,8 @@
 	queued   atomic.Int32
 	work     func() time.Duration
 	beats    uint64
+	// mayBeat is false while the backend doesn't register at the store.
+	mayBeat atomic.Bool
 	// lose reports whether the answer to a statement that ran is lost: "", "silent", "reset"
 	// or "cut".
 	lose func(text string) string
@@ -89,7 +94,15 @@
 			if !b.up {
 				continue
 			}
-			if b.role == "primary" && b != g.leader && g.leader.up && !b.leaves.IsZero() && now.After(b.leaves) {
+			if b.role == "primary" && b != g.leader && g.leader.up && g.cutOff != b && g.cutOff != g.leader && !b.leaves.IsZero() {
+				// It steps down a second after it can reach the new primary.
+				if b.reached.IsZero() {
+					b.reached = now
+				}
+			} else {
+				b.reached = time.Time{}
+			}
+			if !b.reached.IsZero() && now.Sub(b.reached) > time.Second {
 				b.role = "replica"
 				g.changedRole(b)
 			}
@@ -99,6 +112,9 @@
 			// A replica follows the leader of the newest term, or before it hears of that one
 			// the primary of its own.
 			p := g.leader
+			if g.cutOff == b || g.cutOff == p {
+				continue
+			}
 			if !p.up || p.role != "primary" || b.fence > p.term || p == b {
 				continue
 			}
@@ -161,7 +177,7 @@
 func (b *Backend) beat() {
 	g := b.group
 	g.mu.Lock()
-	if !b.up {
+	if !b.up || !b.mayBeat.Load() || g.cutOff == b || g.world.storeDown.Load() {
 		g.mu.Unlock()
 		return
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -10,16 +11,18 @@
 )
 
 var (
-	program = flag.String("program", "target/anviltack", "program of the system")
-	record  = flag.String("record", "record.txt", "file for what was seen")
-	seed    = flag.Uint64("seed", 1, "seed")
-	length  = flag.Duration("time", 60*time.Second, "length of the run")
-	trouble = flag.Bool("trouble", true, "whether to disturb")
-	clients = flag.Int("clients", 60, "sessions")
-	maxConn = flag.Int("maxconn", 60, "connections to a server")
-	number  = flag.Int("instances", 3, "instances")
-	kinds   = flag.String("kinds", "", "kinds of disruptions of the soak")
-	keep    = flag.Bool("keep", false, "keep the folder with the logs")
+	program  = flag.String("program", "target/anviltack", "program of the system")
+	record   = flag.String("record", "record.txt", "file for what was seen")
+	seed     = flag.Uint64("seed", 1, "seed")
+	length   = flag.Duration("time", 60*time.Second, "length of the run")
+	trouble  = flag.Bool("trouble", true, "whether to disturb")
+	clients  = flag.Int("clients", 60, "sessions")
+	maxConn  = flag.Int("maxconn", 60, "connections to a server")
+	number   = flag.Int("instances", 3, "instances")
+	scenario = flag.String("scenario", "soak", "soak or split")
+	rule     = flag.String("rule", "", "rule that makes the exit code 1; any if empty")
+	kinds    = flag.String("kinds", "", "kinds of disruptions of the soak")
+	keep     = flag.Bool("keep", false, "keep the folder with the logs")
 )
 
 func main() {
@@ -34,13 +37,17 @@
 		os.Exit(2)
 	}
 	w := &World{
-		store: newStore(), groups: map[string]*Group{}, record: f, dir: dir, start: time.Now(), stmts: map[string]*Stmt{},
+		store: newStore(), groups: map[string]*Group{}, record: bufio.NewWriterSize(f, 1<<20), dir: dir, start: time.Now(), stmts: map[string]*Stmt{},
 		commits: map[string]int{}, oldAt: map[string]string{}, promised: map[string]string{}, acked: map[string]time.Time{},
 		broken: map[string]int{}, counts: map[string]int{},
 	}
 	r := rand.New(rand.NewPCG(*seed, 1))
 	zones := []string{"a", "b", "c"}
-	for n := range 2 {
+	groups := 2
+	if *scenario != "soak" {
+		groups = 1
+	}
+	for n := range groups {
 		g := &Group{name: fmt.Sprintf("svc%d", n), term: 1, promote: 300 * time.Millisecond, lag: 20 * time.Millisecond, world: w}
 		w.groups[g.name] = g
 		for k, z := range zones {
@@ -55,7 +62,8 @@
 	var routes []Route
 	var routeList []map[string]any
 	var services []map[string]any
-	for _, g := range []*Group{w.groups["svc0"], w.groups["svc1"]} {
+	for n := range groups {
+		g := w.groups[fmt.Sprintf("svc%d", n)]
 		services = append(services, map[string]any{"name": g.name, "maxConnections": *maxConn, "syncReplicas": 0})
 		for _, k := range []Route{{kind: "primary"}, {kind: "bounded_staleness", stale: 1500 * time.Millisecond}, {kind: "read_your_writes", stale: 2500 * time.Millisecond}} {
 			k.group, k.host = g.name, g.name+k.kind[:1]
@@ -64,6 +72,7 @@
 		}
 		go g.replicate()
 		for _, b := range g.backends {
+			b.mayBeat.Store(true)
 			if err := b.start(); err != nil {
 				fmt.Println(err)
 				os.Exit(2)
@@ -81,6 +90,11 @@
 		w.addInstance(zones[n%len(zones)], zones)
 	}
 	for _, i := range w.instances {
+		if *scenario != "soak" {
+			for _, b := range w.groups["svc0"].backends {
+				i.links[b.id] = newLink(func() string { return b.address })
+			}
+		}
 		i.run(*program)
 	}
 	go w.probe()
@@ -101,18 +115,11 @@
 	for n := range *clients {
 		go w.client(rand.New(rand.NewPCG(*seed, uint64(100+n))), routes)
 	}
-	if *kinds == "herd" {
-		go func() {
-			time.Sleep(2 * time.Second)
-			w.herd(w.instances[0], 900, 3*time.Second)
-		}()
-		go func() {
-			for range time.Tick(time.Second) {
-				took, what := w.try(w.instances[0])
-				w.note("try %v %s, ready %v", took, what, w.instances[0].inUse.Load())
-			}
-		}()
-	} else if *trouble {
+	switch {
+	case !*trouble:
+	case *scenario == "split":
+		go w.split(w.groups["svc0"])
+	default:
 		go w.soak(rand.New(rand.NewPCG(*seed, 2)))
 	}
 	time.Sleep(*length)
@@ -123,7 +130,10 @@
 		i.signal(syscall.SIGCONT)
 		i.signal(syscall.SIGKILL)
 	}
-	os.Exit(w.verdict())
+	code := w.verdict()
+	w.recordMu.Lock()
+	_ = w.record.Flush()
+	os.Exit(code)
 }
 
 func (w *World) verdict() int {
@@ -146,18 +156,18 @@
 		for _, a := range g.acks {
 			if !have[a.data] {
 				lost++
-				w.note("lost: %s, acknowledged at %v", a.data, a.at.Sub(w.start))
+				w.note("not in the log of the newest primary: %s, acknowledged at %v", a.data, a.at.Sub(w.start))
 			}
 		}
 	}
 	w.note("counts %v", w.counts)
 	w.note("acknowledged %d, lost %d", len(w.acked), lost)
 	w.note("broken %v", w.broken)
-	fmt.Println(w.broken, "acknowledged", len(w.acked), "lost", lost, w.dir)
-	if !*keep && len(w.broken) == 0 {
+	fmt.Println("broken:", w.broken, "acknowledged:", len(w.acked), "of these lost:", lost)
+	if !*keep {
 		_ = os.RemoveAll(w.dir)
 	}
-	if len(w.broken) > 0 {
+	if *rule == "" && len(w.broken) > 0 || w.broken[*rule] > 0 {
 		return 1
 	}
 	return 0
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -124,6 +124,17 @@
 	return string(s.items[key].Value)
 }
 
+// viewKey is the context key of a reader's view: the addresses by which it reaches servers.
+type viewKey struct{}
+
+// seen returns an item as a reader sees it.
+func seen(r *http.Request, i storeItem) storeItem {
+	if view, ok := r.Context().Value(viewKey{}).(func(storeItem) storeItem); ok {
+		return view(i)
+	}
+	return i
+}
+
 func (s *Store) answer(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Store-Era", strconv.FormatUint(s.eraNow(), 10))
@@ -155,7 +166,7 @@
 		s.mu.Lock()
 		for k, i := range s.items {
 			if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("after") {
-				items = append(items, i)
+				items = append(items, seen(r, i))
 			}
 		}
 		rev := s.revision
@@ -217,6 +228,7 @@
 		s.mu.Lock()
 		for _, e := range s.events {
 			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
+				e.storeItem = seen(r, e.storeItem)
 				events = append(events, e)
 			}
 		}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -24,7 +25,8 @@
 	store     *Store
 	groups    map[string]*Group
 	instances []*Instance
-	record    *os.File
+	recordMu  sync.Mutex
+	record    *bufio.Writer
 	dir       string
 	start     time.Time
 
@@ -43,6 +45,8 @@
 	// slowCloud makes promotions slow.
 	slowCloud atomic.Bool
 	lateStore atomic.Bool
+	// storeDown is true while the store is down for all.
+	storeDown atomic.Bool
 	copies    []Copy
 	taken     atomic.Bool
 }
@@ -64,11 +68,16 @@
 	isRead bool
 	sigs   map[string]bool
 	rows   map[string]bool
+	// stale says which runs lacked a commit; they count if the client gets a success.
+	stale []string
 }
 
+// note adds a line to the record.
 func (w *World) note(format string, a ...any) {
-	fmt.Fprintf(w.record, "%8.3f ", time.Since(w.start).Seconds())
-	fmt.Fprintf(w.record, format+"\n", a...)
+	line := fmt.Sprintf("%8.3f "+format+"\n", append([]any{time.Since(w.start).Seconds()}, a...)...)
+	w.recordMu.Lock()
+	defer w.recordMu.Unlock()
+	_, _ = w.record.WriteString(line)
 }
 
 func (w *World) breach(rule, format string, a ...any) {
@@ -106,6 +115,7 @@
 // ran checks a read or a write that a backend runs; the group's lock is held.
 func (w *World) ran(b *Backend, s *session, id, word, item, data, shape string) {
 	st := w.stmt(id)
+	w.note("%s (%s in term %d, log %d) runs %s: %s %s %s", b.id, b.role, b.term, len(b.log), id, word, item, data)
 	if st == nil {
 		w.breach("UNASKED", "%s ran unknown statement %s", b.id, id)
 		return
@@ -141,7 +151,9 @@
 	}
 	check := func(data string) {
 		if !holds(b.log[:have], data) && holds(b.group.leader.log, data) {
-			w.breach("STALE", "%s (%s, term %d, %d of %d) ran read %s of %v without %s", b.id, b.role, b.term, have, len(b.group.leader.log), id, st.sentAt.Sub(w.start), data)
+			w.mu.Lock()
+			st.stale = append(st.stale, fmt.Sprintf("%s (%s, term %d, %d of %d) ran read %s, sent at %.3f, without %s", b.id, b.role, b.term, have, len(b.group.leader.log), id, st.sentAt.Sub(w.start).Seconds(), data))
+			w.mu.Unlock()
 		}
 	}
 	g := b.group
@@ -167,6 +179,7 @@
 
 // committed records a commit; the group's lock is held.
 func (w *World) committed(b *Backend, items map[string]string) {
+	w.note("%s commits %d.%d: %v", b.id, b.term, len(b.log), items)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, d := range items {
@@ -204,6 +217,8 @@
 	inUse    atomic.Bool
 	missed   int
 	cut      atomic.Bool
+	// links are the proxies through which it reaches servers, by their IDs.
+	links    map[string]*link
 	logs     *os.File
 	expected atomic.Bool
 	taken    atomic.Bool
@@ -228,16 +243,20 @@
 }
 
 func (w *World) addInstance(zone string, zones []string) *Instance {
-	i := &Instance{world: w, n: len(w.instances), name: fmt.Sprintf("edge-%s-%d", zone, len(w.instances)), zone: zone}
+	i := &Instance{world: w, n: len(w.instances), name: fmt.Sprintf("edge-%s-%d", zone, len(w.instances)), zone: zone, links: map[string]*link{}}
 	ip := fmt.Sprintf("127.0.%d.1", 10+i.n)
 	store, cloud := listen("127.0.0.1"), listen("127.0.0.1")
 	h := w.store.handler()
 	go http.Serve(store, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if w.storeDown.Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if i.cut.Load() {
 			time.Sleep(3 * time.Second)
 			panic(http.ErrAbortHandler)
 		}
-		h.ServeHTTP(rw, r)
+		h.ServeHTTP(rw, r.WithContext(context.WithValue(r.Context(), viewKey{}, i.view)))
 	}))
 	go http.Serve(cloud, w.cloud())
 	i.front, i.ready = fmt.Sprintf("%s:%d", ip, freePort(ip)), fmt.Sprintf("%s:%d", ip, freePort(ip))
@@ -270,8 +289,10 @@
 func (i *Instance) run(program string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	cmd := exec.Command(program, "platform", "--metrics-port=0", i.settings)
+	cmd := exec.Command(program, "platform", "--metrics-port=9464") // as in deploy/system.toml
+	cmd.Env = append(os.Environ(), "ANVILTACK_NODE_FILE="+i.settings)
 	cmd.Stdout, cmd.Stderr = i.logs, i.logs
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		fmt.Println("could not start:", err)
 		os.Exit(2)
@@ -419,14 +440,15 @@
 	c.w.mu.Lock()
 	c.w.stmts[id] = st
 	c.w.mu.Unlock()
+	c.w.note("sent %s to %s on %s: %s", id, c.where, c.route.host, text)
 	a := c.ask(id, text)
+	c.w.note("answered %s: rows %v, signature %q, error %q, state %q, end %v", id, a.rows, a.sig, a.code, a.state, a.err)
 	c.w.mu.Lock()
 	key := st.word + " " + a.code
 	if a.err != nil && a.code != "" {
 		key += " and close"
 	} else if a.err != nil {
 		key = st.word + " no answer"
-		c.w.note("no answer to %s %s from %s sent at %v: %v", st.word, id, c.where, st.sentAt.Sub(c.w.start), a.err)
 	}
 	c.w.counts[key]++
 	ok := a.code == "" && a.sig != "" && (a.err == nil || a.state != "")
@@ -434,7 +456,11 @@
 	if ok && st.word == "READ" {
 		bad = bad || len(a.rows) != 1 || !st.rows[a.rows[0]]
 	}
+	stale := st.stale
 	c.w.mu.Unlock()
+	if ok && len(stale) > 0 && strings.Contains(stale[len(stale)-1], a.sig[strings.Index(a.sig, ".")+1:]) {
+		c.w.breach("STALE", "%s answered read by %s", c.where, stale[len(stale)-1])
+	}
 	if bad {
 		c.w.breach("MIXED", "%s answered %v %s to %s", c.where, a.rows, a.sig, id)
 	}
