--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,7 @@
 	clients  = flag.Int("clients", 60, "sessions")
 	maxConn  = flag.Int("maxconn", 60, "connections to a server")
 	number   = flag.Int("instances", 3, "instances")
-	scenario = flag.String("scenario", "soak", "soak or split")
+	scenario = flag.String("scenario", "soak", "soak, split or restart")
 	rule     = flag.String("rule", "", "rule that makes the exit code 1; any if empty")
 	kinds    = flag.String("kinds", "", "kinds of disruptions of the soak")
 	keep     = flag.Bool("keep", false, "keep the folder with the logs")
@@ -119,6 +119,8 @@
 	case !*trouble:
 	case *scenario == "split":
 		go w.split(w.groups["svc0"])
+	case *scenario == "restart":
+		go w.restart(w.groups["svc0"])
 	default:
 		go w.soak(rand.New(rand.NewPCG(*seed, 2)))
 	}
