--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -67,6 +67,7 @@
 	queued   atomic.Int32
 	work     func() time.Duration
 	beats    uint64
+	beatAt   time.Time
 	// mayBeat is false while the backend doesn't register at the store.
 	mayBeat atomic.Bool
 	// lose reports whether the answer to a statement that ran is lost: "", "silent", "reset"
@@ -182,6 +183,7 @@
 		return
 	}
 	b.beats++
+	b.beatAt = time.Now()
 	e := map[string]any{
 		"service": g.name, "address": b.address, "zone": b.zone, "version": "v1", "capacity": cap(b.slots),
 		"state": b.state, "coldRemainingMs": 0, "dbRole": b.role, "sequence": b.beats, "born": b.born,
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,7 @@
 	clients  = flag.Int("clients", 60, "sessions")
 	maxConn  = flag.Int("maxconn", 60, "connections to a server")
 	number   = flag.Int("instances", 3, "instances")
-	scenario = flag.String("scenario", "soak", "soak, split or restart")
+	scenario = flag.String("scenario", "soak", "soak, split, restart or survivor")
 	rule     = flag.String("rule", "", "rule that makes the exit code 1; any if empty")
 	kinds    = flag.String("kinds", "", "kinds of disruptions of the soak")
 	keep     = flag.Bool("keep", false, "keep the folder with the logs")
@@ -90,7 +90,7 @@
 		w.addInstance(zones[n%len(zones)], zones)
 	}
 	for _, i := range w.instances {
-		if *scenario != "soak" {
+		if *scenario == "split" {
 			for _, b := range w.groups["svc0"].backends {
 				i.links[b.id] = newLink(func() string { return b.address })
 			}
@@ -119,6 +119,8 @@
 	case !*trouble:
 	case *scenario == "split":
 		go w.split(w.groups["svc0"])
+	case *scenario == "survivor":
+		go w.survivor(w.groups["svc0"])
 	case *scenario == "restart":
 		go w.restart(w.groups["svc0"])
 	default:
