--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 	maxConn  = flag.Int("maxconn", 60, "connections to a server")
 	number   = flag.Int("instances", 3, "instances")
 	scenario = flag.String("scenario", "soak", "soak, split, restart or survivor")
+	old      = flag.String("old", "", "program of every second instance, if not empty")
 	rule     = flag.String("rule", "", "rule that makes the exit code 1; any if empty")
 	kinds    = flag.String("kinds", "", "kinds of disruptions of the soak")
 	keep     = flag.Bool("keep", false, "keep the folder with the logs")
@@ -95,7 +96,7 @@
 				i.links[b.id] = newLink(func() string { return b.address })
 			}
 		}
-		i.run(*program)
+		i.run()
 	}
 	go w.probe()
 	w.store.late = func() time.Duration {
--- a/review/standin/restart.go
+++ b/review/standin/restart.go
@@ -52,7 +52,7 @@
 	i.signal(syscall.SIGKILL)
 	<-i.exited
 	time.Sleep(startAfter)
-	i.run(*program)
+	i.run()
 	w.note("%s is started again", i.name)
 	time.Sleep(killBefore - startAfter)
 	w.note("the store is back")
--- a/review/standin/soak.go
+++ b/review/standin/soak.go
@@ -59,7 +59,7 @@
 		i.signal(syscall.SIGKILL)
 		<-i.exited
 		time.Sleep(span / 3)
-		i.run(*program)
+		i.run()
 	case "term":
 		i.expected.Store(true)
 		i.signal(syscall.SIGTERM)
@@ -70,7 +70,7 @@
 			i.signal(syscall.SIGKILL)
 			<-i.exited
 		}
-		i.run(*program)
+		i.run()
 		time.Sleep(2 * time.Second)
 	case "stop":
 		i.signal(syscall.SIGSTOP)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -286,7 +286,11 @@
 }
 
 // run starts the process and starts it again whenever it ends.
-func (i *Instance) run(program string) {
+func (i *Instance) run() {
+	program := *program
+	if *old != "" && i.n%2 == 1 {
+		program = *old
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	cmd := exec.Command(program, "platform", "--metrics-port=9464") // as in deploy/system.toml
