--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -272,8 +272,10 @@
 		"limits":  map[string]any{"cpuShare": 0.8, "cpuCores": 1, "memoryMb": 414, "maxFds": 6300, "linkMbps": 1500.0, "diskMb": 0},
 		"dataDir": nil, "discovery": "platform", "entryPoint": "virtual_ip",
 		"contracts": []string{"base", "drain", "config", "cost", "recover", "sql", "platform"},
-		"bounds": map[string]any{"stableWindowMs": 4000, "drainMs": 7000, "graceS": 6, "lossSlackMs": 200, "configApplyMs": 3000, "rollbackSlackMs": 250,
-			"skewBoundMs": 12000, "recoveryS": 12, "fencingRequired": false, "thawSlackMs": 300},
+		"bounds": map[string]any{
+			"stableWindowMs": 4000, "drainMs": 7000, "graceS": 6, "lossSlackMs": 200, "configApplyMs": 3000, "rollbackSlackMs": 250,
+			"skewBoundMs": 12000, "recoveryS": 12, "fencingRequired": false, "thawSlackMs": 300,
+		},
 		"platform": map[string]any{"address": store.Addr().String(), "form": "kv", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "ttlMinMs": 1000},
 		"cloudApi": map[string]any{"address": cloud.Addr().String(), "ratePerS": 50.0, "duties": []string{"failover"}, "dutyPerS": 50.0},
 	}
