Count majorities among voters that outlive their entries in the directory

Cause: the endpoints that the directory listed at the moment were the group of which a majority was counted, for confirmations, fences, promotions and freshness alike. 2.2 s after the entries of the crashed endpoints had expired, the replica was a majority of one. That an endpoint is no longer listed says that nothing may be sent there, not that what it acknowledged is gone.

Ruled out: wrong samples (each was right for its endpoint), samples added while one of three answered (none were), the flag caughtUp (set long before).

Fix: a group has voters. An endpoint that is no longer listed stays one. They change one at a time, and only once a majority of the present ones, sampled since the last change, holds the primary's log as it was then, so each majority shares a log with each majority before and after a change. A process under a new name at the address of a voter continues its log, as crashed endpoints do on the platform; one that starts again under its name is empty. Voters that have been missing for 30 s, without which there is no majority, count as lost for good, with a warning.

The flag caughtUp goes: learners are not counted (TestEmptyEndpointIsNoSample holds as before).

--- a/core/event.go
+++ b/core/event.go
@@ -19,6 +19,7 @@
 	EventSampleFailed  Event = 301
 	EventFailoverBegun Event = 302
 	EventFailover      Event = 303
+	EventVoters        Event = 304
 	EventSessionError  Event = 401
 	EventRefused       Event = 402
 	EventKeyDenied     Event = 403
--- a/core/group/failover_attempt.go
+++ b/core/group/failover_attempt.go
@@ -118,7 +118,7 @@
 	return nil
 }
 
-// startFencing fences every member at the next term.
+// startFencing fences every voter at the next term.
 func (m *Machine) startFencing(now time.Time) []Action {
 	a := m.attempt
 	a.phase, a.startedAt, a.term = phaseFencing, now, m.fence+1
@@ -132,6 +132,9 @@
 	m.ownFence = a.term
 	var actions []Action
 	for _, e := range m.members {
+		if e.Learner {
+			continue
+		}
 		actions = append(actions, Action{Kind: ActionFence, Endpoint: e.Name, Term: a.term, Reason: a.reason})
 	}
 	return actions
@@ -169,7 +172,7 @@
 	switch {
 	case withoutSuspect >= m.majority():
 		return m.promote(now, m.mostAdvanced(a.suspect))
-	case len(a.fenced) >= m.majority() && (age >= m.periods.FenceGrace || len(a.fenced)+len(a.refused) == len(m.members)):
+	case len(a.fenced) >= m.majority() && (age >= m.periods.FenceGrace || len(a.fenced)+len(a.refused) == m.listedVoters()):
 		return m.promote(now, m.mostAdvanced(""))
 	case m.possibleFences(age) < m.majority() || age >= m.periods.FenceTimeout:
 		m.backOff(now)
@@ -181,7 +184,7 @@
 // failed primary stops counting after the grace period if it is not fenced by then.
 func (m *Machine) possibleFences(age time.Duration) int {
 	a := m.attempt
-	n := len(m.members) - len(a.refused)
+	n := m.listedVoters() - len(a.refused)
 	_, ok := a.fenced[a.suspect]
 	if a.suspect != "" && !ok && !a.refused[a.suspect] && age >= m.periods.FenceGrace {
 		n--
--- a/core/group/failure_detection.go
+++ b/core/group/failure_detection.go
@@ -116,10 +116,10 @@
 }
 
 // updateAbsentSince sets absentSince if the group has no primary in the highest term
-// seen, and clears it otherwise.
+// seen, or none whose term counts, and clears it otherwise.
 func (m *Machine) updateAbsentSince(now time.Time) {
 	e := m.member(m.primary)
-	if m.fence == m.term && e != nil && (!e.known || e.status.Term < m.term || e.isPrimary(m.term)) {
+	if m.fence == m.term && m.term >= m.voters.Floor && e != nil && (!e.known || e.status.Term < m.term || e.isPrimary(m.term)) {
 		m.absentSince = time.Time{}
 		return
 	}
@@ -144,7 +144,7 @@
 func (m *Machine) reachesMajority(now time.Time, suspect core.Endpoint) bool {
 	n := 0
 	for _, e := range m.members {
-		if e.Name != suspect && e.failures == 0 && m.isReachable(e, now) {
+		if !e.Learner && e.Name != suspect && e.failures == 0 && m.isReachable(e, now) {
 			n++
 		}
 	}
--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -19,7 +19,12 @@
 	random  *rand.Rand
 	// members is sorted by name.
 	members []*member
-	rank    int
+	voters  Voters
+	// barrier is the end of the primary's log in a status requested at barrierAt, the first
+	// one since the voters changed.
+	barrier   core.Point
+	barrierAt time.Time
+	rank      int
 	// instances is the number of instances that may run a failover, this one included.
 	instances int
 	waiting   int
@@ -153,36 +158,36 @@
 	return m.evaluate(now)
 }
 
-// HasQuorum reports whether a majority of the members answers. It is true while no
-// members are configured.
+// HasQuorum reports whether a majority of the voters answers. It is true while none are
+// known.
 func (m *Machine) HasQuorum() bool {
 	n := 0
 	for _, e := range m.members {
-		if e.failures == 0 {
+		if !e.Learner && e.failures == 0 {
 			n++
 		}
 	}
-	return n >= m.majority() || len(m.members) == 0
+	return n >= m.majority() || len(m.members) == 0 && m.voters.Unlisted == 0
 }
 
-// HasAnsweredQuorum reports whether a majority of the members answers and has done so
-// before: members that were not sampled yet do not count.
+// HasAnsweredQuorum reports whether a majority of the voters answers and has done so
+// before: voters that were not sampled yet do not count.
 func (m *Machine) HasAnsweredQuorum() bool {
 	n := 0
 	for _, e := range m.members {
-		if e.failures == 0 && !e.answeredAt.IsZero() {
+		if !e.Learner && e.failures == 0 && !e.answeredAt.IsZero() {
 			n++
 		}
 	}
 	return n > 0 && n >= m.majority()
 }
 
-// HasLocalQuorum reports whether the members in the instance's own data centre are a majority
+// HasLocalQuorum reports whether the voters in the instance's own data centre are a majority
 // that answers.
 func (m *Machine) HasLocalQuorum() bool {
 	n := 0
 	for _, e := range m.members {
-		if e.SameDataCentre && e.failures == 0 {
+		if !e.Learner && e.SameDataCentre && e.failures == 0 {
 			n++
 		}
 	}
@@ -294,8 +299,11 @@
 	if sentAt.After(e.sentAt) {
 		e.sentAt = sentAt
 	}
-	if point.Term == m.term && point.Position > e.positionIn(m.term) {
-		e.status.Received, e.status.Last = point.Position, point
+	if point.Term == m.term {
+		m.noteLogEnd(sentAt, point.Position)
+		if point.Position > e.positionIn(m.term) {
+			e.status.Received, e.status.Last = point.Position, point
+		}
 	}
 	return m.evaluate(now)
 }
@@ -402,6 +410,7 @@
 	}
 	if s.Role == core.RolePrimary && s.Term == m.term {
 		m.primary = e.Name
+		m.noteLogEnd(sentAt, e.positionIn(m.term))
 	}
 }
 
@@ -443,6 +452,3 @@
 	}
 	return nil
 }
-
-// majority returns the number of members that make a majority.
-func (m *Machine) majority() int { return len(m.members)/2 + 1 }
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -14,6 +14,8 @@
 	SameDataCentre bool
 	// Leaving endpoints get no new work; a leaving primary is replaced.
 	Leaving bool
+	// Learner endpoints replicate the log and do not count for majorities.
+	Learner bool
 }
 
 // member is the machine's state of one endpoint.
@@ -112,12 +114,12 @@
 	return e.refusals >= minRefusals && e.refusedLast.Sub(e.refusedFirst) >= span
 }
 
-// isCounted reports whether the endpoint's status counts for confirmations in the
-// machine's term. Unless terms are external, a term begins with an entry of its own.
+// isCounted reports whether the endpoint is a voter whose status counts for confirmations in
+// the machine's term. Unless terms are external, a term begins with an entry of its own.
 func (m *Machine) isCounted(e *member) bool {
 	s := e.status
 	begun := s.Last.Term == m.term || s.Last == core.Point{}
-	return e.known && s.Term == m.term && s.Fence <= m.term && (begun || m.externalTerms) && m.isFenceReliable(e)
+	return !e.Learner && e.known && s.Term == m.term && s.Term >= m.voters.Floor && s.Fence <= m.term && (begun || m.externalTerms) && m.isFenceReliable(e)
 }
 
 // positionIn returns the position up to which the endpoint has the log of term. A log
--- a/core/group/schedule.go
+++ b/core/group/schedule.go
@@ -72,7 +72,7 @@
 	}
 	choose := func(ok func(e *member) bool) {
 		for i, e := range m.members {
-			if left == 0 || sampled[i] || e.failures > 0 || !ok(e) {
+			if left == 0 || sampled[i] || e.Learner || e.failures > 0 || !ok(e) {
 				continue
 			}
 			sampled[i] = true
--- a/core/group/sparse_sampling.go
+++ b/core/group/sparse_sampling.go
@@ -26,7 +26,7 @@
 	var candidates []int
 	for i, e := range m.members {
 		switch {
-		case e.Name == m.primary || e.failures > 0:
+		case e.Name == m.primary || e.Learner || e.failures > 0:
 		case m.isRecentlySampled(e, now):
 			needed--
 			due[i] = false
@@ -86,7 +86,7 @@
 	left := 0
 	for _, e := range m.members {
 		isBehind := e.sentAt.After(m.positionBehindSince) && e.positionIn(m.term) < m.demand.Point.Position
-		if e.failures == 0 && !isBehind {
+		if !e.Learner && e.failures == 0 && !isBehind {
 			left++
 		}
 	}
--- a/core/group/volatile_fence.go
+++ b/core/group/volatile_fence.go
@@ -28,7 +28,7 @@
 	counted, unreliable := 0, 0
 	for _, e := range m.members {
 		switch {
-		case !e.known || e.failures > 0:
+		case e.Learner || !e.known || e.failures > 0:
 		case m.isFenceReliable(e):
 			counted++
 		default:
--- a/core/mark/tracker.go
+++ b/core/mark/tracker.go
@@ -33,7 +33,9 @@
 // continue while there is none.
 type Tracker struct {
 	members []member
-	history History
+	// unlisted is the number of further voters, which are not sampled.
+	unlisted int
+	history  History
 }
 
 type member struct {
@@ -41,7 +43,7 @@
 	newest EndpointSample
 }
 
-// NewTracker returns a tracker of a group with these endpoints.
+// NewTracker returns a tracker of a group with these voters.
 func NewTracker(members ...core.Endpoint) *Tracker {
 	t := &Tracker{members: make([]member, 0, len(members))}
 	for _, e := range members {
@@ -50,6 +52,12 @@
 	return t
 }
 
+// SetUnlisted sets the number of voters that are not among the members.
+func (t *Tracker) SetUnlisted(n int) { t.unlisted = n }
+
+// isMajority reports whether n of the voters are a majority.
+func (t *Tracker) isMajority(n int) bool { return n > (len(t.members)+t.unlisted)/2 }
+
 func (t *Tracker) find(e core.Endpoint) *member {
 	for i := range t.members {
 		if t.members[i].name == e {
@@ -95,7 +103,7 @@
 			n++
 		}
 	}
-	return n > len(t.members)/2
+	return t.isMajority(n)
 }
 
 // IsConfirmed reports whether a majority, each sampled at or after since, holds p in
@@ -110,7 +118,7 @@
 			n++
 		}
 	}
-	return n > len(t.members)/2
+	return t.isMajority(n)
 }
 
 // IsDurable reports whether the data that a read saw on e at p cannot be lost. A replica
@@ -119,7 +127,7 @@
 	const replicaAndPrimary = 2
 	m := t.find(e)
 	isReplica := m != nil && m.newest.Status.Role == core.RoleReplica
-	return isReplica && replicaAndPrimary > len(t.members)/2 || t.IsConfirmed(p, since)
+	return isReplica && t.isMajority(replicaAndPrimary) || t.IsConfirmed(p, since)
 }
 
 // NewestSample returns the newest sample of an endpoint, if there is one.
--- a/proxy/endpoint.go
+++ b/proxy/endpoint.go
@@ -49,9 +49,6 @@
 	// sampleFailing reports whether the last sample failed. Only the control goroutine
 	// uses it.
 	sampleFailing bool
-	// caughtUp reports whether the endpoint has reached the newest point known of the
-	// group since it was listed. Only the control goroutine uses it.
-	caughtUp bool
 
 	mu sync.Mutex
 	// mix divides the connections among organisations; idle holds the idle ones by their id.
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -117,8 +118,9 @@
 	machine   *failover.Machine
 	tracker   *mark.Tracker
 	endpoints map[core.Endpoint]*endpoint
-	// trackedNames are the names of the endpoints that machine and tracker have, sorted.
+	// trackedNames are the names of the endpoints that tracker has, sorted.
 	trackedNames []core.Endpoint
+	voters       voters
 	// nextTickAt is when machine must be ticked at the latest.
 	nextTickAt time.Time
 	// lease is the group's promotion lease as last read.
@@ -177,6 +179,7 @@
 	g.updateRank()
 	g.followEra(now)
 	g.confirmWithoutQuorum(now)
+	g.updateVoters(now)
 	if g.machine.AwaitsFenceResolution() && now.Sub(g.leaseReadAt) >= leaseReadInterval {
 		g.resolveFences(now)
 	}
@@ -258,7 +261,7 @@
 		term: term, primary: g.endpoints[primary], confirmed: g.machine.Confirmed(),
 		available: g.machine.Availability(), history: g.tracker.History(),
 	}
-	for _, name := range g.trackedNames {
+	for _, name := range slices.Sorted(maps.Keys(g.endpoints)) {
 		s.endpoints = append(s.endpoints, g.endpoints[name])
 	}
 	old := g.group.state.Load()
--- a/proxy/group_members.go
+++ b/proxy/group_members.go
@@ -67,24 +67,27 @@
 
 // updateMembers updates the members of tracker and machine.
 func (g *groupControl) updateMembers(now time.Time) {
+	g.updateListedVoters()
 	g.updateTracker()
+	g.machine.SetVoters(g.machineVoters())
 	g.rank = g.computeRank()
 	g.updateRank()
 	members := make([]failover.Member, 0, len(g.endpoints))
 	for _, e := range g.endpoints {
-		members = append(members, failover.Member{Name: e.info.Name, DataCentre: e.info.DataCentre, Leaving: e.leaving.Load(), SameDataCentre: string(e.info.DataCentre) == g.control.proxy.settings.DataCentre})
+		members = append(members, failover.Member{Name: e.info.Name, DataCentre: e.info.DataCentre, Leaving: e.leaving.Load(), Learner: !g.voters.listed[e.info.Name], SameDataCentre: string(e.info.DataCentre) == g.control.proxy.settings.DataCentre})
 	}
 	g.perform(now, g.machine.Configure(now, members))
 }
 
-// updateTracker replaces the tracker if the members changed. The samples of the old one
+// updateTracker replaces the tracker if the listed voters changed. The samples of the old one
 // stay valid.
 func (g *groupControl) updateTracker() {
 	names := make([]core.Endpoint, 0, len(g.endpoints))
-	for name := range g.endpoints {
+	for name := range g.voters.listed {
 		names = append(names, name)
 	}
 	slices.Sort(names)
+	defer func() { g.tracker.SetUnlisted(g.voters.unlisted) }()
 	if !slices.Equal(names, g.trackedNames) {
 		samples := g.tracker.History()
 		g.trackedNames = names
--- a/proxy/group_samples.go
+++ b/proxy/group_samples.go
@@ -21,7 +21,7 @@
 			return
 		}
 		e.recordSample(now, r)
-		if g.hasCaughtUp(e, r) {
+		if r.Term >= g.voters.set.Floor {
 			// Endpoints compare positions by the term of the log entry.
 			status := r.Status
 			status.Term = r.Last.Term
@@ -29,19 +29,11 @@
 		}
 		g.machine.SetUpSince(e.info.Name, upSince)
 		g.perform(now, g.machine.Sampled(now, e.info.Name, sentAt, r.Status))
+		g.updateVoters(now)
 		g.fenceOldPrimary(e, r)
 	})
 }
 
-// hasCaughtUp reports whether the endpoint has reached the newest known point of the group
-// since it was listed. The status of an endpoint that started empty would make an old log
-// count as fresh.
-func (g *groupControl) hasCaughtUp(e *endpoint, r Report) bool {
-	newest, ok := g.tracker.History().Newest()
-	e.caughtUp = e.caughtUp || !ok || !r.Last.Less(newest.Point)
-	return e.caughtUp
-}
-
 // checkPrimary requests an answer that the endpoint gives only if it considers itself the
 // primary.
 func (g *groupControl) checkPrimary(e *endpoint, sentAt time.Time, newConnection bool) {
@@ -77,11 +69,12 @@
 // recordPrimaryCheck records an answer that only a primary gives.
 func (g *groupControl) recordPrimaryCheck(now time.Time, e *endpoint, c primaryCheck) {
 	e.noteSampleResult(nil)
-	if p := c.point; p != (core.Point{}) {
+	if p := c.point; p != (core.Point{}) && p.Term >= g.voters.set.Floor {
 		g.tracker.Observe(e.info.Name, c.sentAt, core.Status{Role: core.RolePrimary, Term: p.Term, Received: p.Position, Last: p})
 	}
 	g.machine.SetUpSince(e.info.Name, c.upSince)
 	g.perform(now, g.machine.PrimaryCheckPassed(now, e.info.Name, c.sentAt, c.point))
+	g.updateVoters(now)
 }
 
 // fenceOldPrimary fences a replaced primary that still considers itself the primary.
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -49,6 +49,9 @@
 	case "set": // set ENDPOINT FIELD VALUE
 		s.setField(s.find(core.Endpoint(f[1])), f[2], f[3])
 		return strings.Join(f[1:], " ")
+	case "list", "unlist": // list ENDPOINT ..., unlist ENDPOINT ...
+		s.setListed(f[0] == "list", f[1:])
+		return strings.Join(f, " ")
 	case "store":
 		s.setStoreDown(f[1] == "down")
 		return "store " + f[1]
@@ -105,6 +108,19 @@
 	}
 }
 
+// setListed changes which endpoints the directory lists, and waits until the instance knows.
+func (s *simulation) setListed(listed bool, names []string) {
+	s.mu.Lock()
+	for _, name := range names {
+		s.find(core.Endpoint(name)).unlisted = !listed
+	}
+	offer := s.offerEndpoints
+	s.mu.Unlock()
+	list := s.list()
+	offer(list)
+	s.waitFor(func() bool { return len(s.proxy.placement.Load().groups["g"].state.Load().endpoints) == len(list) })
+}
+
 func (s *simulation) setStoreDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -32,6 +32,8 @@
 	// unreachable leaves everything unanswered, notReceiving receives no log entries,
 	// notApplying applies none.
 	unreachable, notReceiving, notApplying bool
+	// unlisted leaves the endpoint out of the list of the directory.
+	unlisted bool
 	// fencedLate delays fences until an endpoint was promoted.
 	fencedLate bool
 	// garbled makes the next answer to a caller one that the instance cannot handle.
@@ -239,7 +241,9 @@
 	defer s.mu.Unlock()
 	var list []Endpoint
 	for _, f := range s.fakes {
-		list = append(list, f.info)
+		if !f.unlisted {
+			list = append(list, f.info)
+		}
 	}
 	return list
 }
