Keep the voters of each group in the platform's store

Cause: a process without history has no other source for the members of a group than the directory. The same holds for an old process that becomes home of a group or begins to watch one.

Ruled out: a delay at the start, which the users tried: it ends at some time, and the directory may be incomplete for longer. Readiness alone: sessions that are relayed, or that come all the same, would be served.

Fix: the stored voters, without a lease, replaced by compare-and-swap only when they change. An instance that does not know them has no majority and refuses at once.

--- a/proxy/control.go
+++ b/proxy/control.go
@@ -21,6 +21,8 @@
 	proxy  *Proxy
 	events chan func(now time.Time)
 	groups map[core.Group]*groupControl
+	// voters is what is known of the voters of each group.
+	voters map[core.Group]*voters
 	// listedEndpoints is the newest list of the directory.
 	listedEndpoints []Endpoint
 	// livePeers are the instances that share the endpoints, sorted by name.
@@ -60,6 +62,7 @@
 	return &control{
 		proxy: p, events: make(chan func(time.Time), controlQueue),
 		groups:     make(map[core.Group]*groupControl),
+		voters:     make(map[core.Group]*voters),
 		lastListed: make(map[core.Instance]listedPeer),
 	}
 }
--- a/proxy/dependencies.go
+++ b/proxy/dependencies.go
@@ -153,7 +153,7 @@
 	Watch func(ctx context.Context, offer func(*Config)) error
 }
 
-// VersionedValue is a value in the LeaseStore. The number of Revision is zero if the key
+// VersionedValue is a value in the LeaseStore or the VoterStore. The number of Revision is zero if the key
 // has no value.
 type VersionedValue struct {
 	Revision core.Revision
@@ -174,6 +174,16 @@
 	Era func() (era uint64, known bool)
 }
 
+// VoterStore holds the voters of each group, as text, in a store with compare-and-swap.
+type VoterStore struct {
+	// Watch passes the values of all groups that have one to offer, now and after each change
+	// until ctx ends.
+	Watch func(ctx context.Context, offer func(map[core.Group]VersionedValue)) error
+	// Get and CompareAndSwap are as those of LeaseStore.
+	Get            func(ctx context.Context, g core.Group) (VersionedValue, error)
+	CompareAndSwap func(ctx context.Context, g core.Group, revision core.Revision, value string) (core.Revision, error)
+}
+
 // Peer is a live instance.
 type Peer struct {
 	Name       core.Instance
@@ -244,6 +254,7 @@
 	Directory    Directory
 	ConfigSource ConfigSource
 	LeaseStore   LeaseStore
+	VoterStore   VoterStore
 	Membership   Membership
 	Promoter     Promoter
 	// Traffic counts the bytes that the other dependencies exchange; it may be nil.
--- a/proxy/group.go
+++ b/proxy/group.go
@@ -81,6 +81,10 @@
 	history   *mark.History
 	available failover.Availability
 	endpoints []*endpoint
+	// votersVersion is the version of the known set of voters, and unlistedVoters how many of
+	// them are not listed.
+	votersVersion  uint64
+	unlistedVoters int
 }
 
 // beginUse records that a statement or a transaction begins at now.
@@ -120,7 +124,7 @@
 	endpoints map[core.Endpoint]*endpoint
 	// trackedNames are the names of the endpoints that tracker has, sorted.
 	trackedNames []core.Endpoint
-	voters       voters
+	voters       *voters
 	// nextTickAt is when machine must be ticked at the latest.
 	nextTickAt time.Time
 	// lease is the group's promotion lease as last read.
@@ -168,6 +172,7 @@
 		machine:   failover.New(name, core.Instance(c.proxy.settings.Instance), failover.WithPeriods(p), failover.WithExternalTerms(), failover.WithSparseSamples(), failover.WithVolatileFences(lease.ExpireAfter)),
 		tracker:   mark.NewTracker(),
 		endpoints: make(map[core.Endpoint]*endpoint),
+		voters:    c.votersOf(name),
 	}
 	g.group.groupControl = g
 	g.group.state.Store(&groupState{history: &mark.History{}})
@@ -179,7 +184,7 @@
 	g.updateRank()
 	g.followEra(now)
 	g.confirmWithoutQuorum(now)
-	g.updateVoters(now)
+	g.changeVoters(now)
 	if g.machine.AwaitsFenceResolution() && now.Sub(g.leaseReadAt) >= leaseReadInterval {
 		g.resolveFences(now)
 	}
@@ -260,13 +265,14 @@
 	s := &groupState{
 		term: term, primary: g.endpoints[primary], confirmed: g.machine.Confirmed(),
 		available: g.machine.Availability(), history: g.tracker.History(),
+		votersVersion: g.voters.set.Version, unlistedVoters: g.voters.unlisted,
 	}
 	for _, name := range slices.Sorted(maps.Keys(g.endpoints)) {
 		s.endpoints = append(s.endpoints, g.endpoints[name])
 	}
 	old := g.group.state.Load()
 	if old.term == s.term && old.primary == s.primary && old.confirmed == s.confirmed && old.available == s.available &&
-		old.history.Len() == s.history.Len() && slices.Equal(old.endpoints, s.endpoints) {
+		old.votersVersion == s.votersVersion && old.unlistedVoters == s.unlistedVoters && old.history.Len() == s.history.Len() && slices.Equal(old.endpoints, s.endpoints) {
 		newest, _ := s.history.Newest()
 		if last, _ := old.history.Newest(); last == newest {
 			return
--- a/proxy/group_samples.go
+++ b/proxy/group_samples.go
@@ -29,7 +29,6 @@
 		}
 		g.machine.SetUpSince(e.info.Name, upSince)
 		g.perform(now, g.machine.Sampled(now, e.info.Name, sentAt, r.Status))
-		g.updateVoters(now)
 		g.fenceOldPrimary(e, r)
 	})
 }
@@ -74,7 +73,6 @@
 	}
 	g.machine.SetUpSince(e.info.Name, c.upSince)
 	g.perform(now, g.machine.PrimaryCheckPassed(now, e.info.Name, c.sentAt, c.point))
-	g.updateVoters(now)
 }
 
 // fenceOldPrimary fences a replaced primary that still considers itself the primary.
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -182,6 +182,10 @@
 	// replaced, or -1 if it never was.
 	ConfirmedAgeMs int64
 	Open           bool
+	// VotersVersion is the version of the group's set of voters, zero while it is not known,
+	// and UnlistedVoters how many of them are not listed.
+	VotersVersion  uint64
+	UnlistedVoters int
 	Endpoints      []endpointDump
 }
 
@@ -228,7 +232,10 @@
 	var groups []groupDump
 	for name, g := range p.placement.Load().groups {
 		state := g.state.Load()
-		d := groupDump{Group: name, Term: state.term, Open: state.isOpen(), ConfirmedAgeMs: p.ageMs(state.confirmed.AsOf)}
+		d := groupDump{
+			Group: name, Term: state.term, Open: state.isOpen(), ConfirmedAgeMs: p.ageMs(state.confirmed.AsOf),
+			VotersVersion: state.votersVersion, UnlistedVoters: state.unlistedVoters,
+		}
 		if state.primary != nil {
 			d.Primary = state.primary.info.Name
 		}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -151,6 +151,11 @@
 	root.Add(service{name: "directory", run: func(ctx context.Context) error {
 		return p.dependencies.Directory.Watch(ctx, func(l []Endpoint) { p.control.post(ctx, func(time.Time) { p.control.updateEndpoints(l) }) })
 	}})
+	root.Add(service{name: "voters", run: func(ctx context.Context) error {
+		return p.dependencies.VoterStore.Watch(ctx, func(s map[core.Group]VersionedValue) {
+			p.control.post(ctx, func(now time.Time) { p.control.updateVoters(now, s) })
+		})
+	}})
 	root.Add(service{name: "members", run: func(ctx context.Context) error {
 		return p.dependencies.Membership.Maintain(ctx, func(l []Peer) { p.control.post(ctx, func(time.Time) { p.control.updatePeers(l) }) })
 	}})
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -52,6 +52,14 @@
 	case "list", "unlist": // list ENDPOINT ..., unlist ENDPOINT ...
 		s.setListed(f[0] == "list", f[1:])
 		return strings.Join(f, " ")
+	case "restart": // restart: the instance is a new process
+		s.restart()
+		return "restarted"
+	case "forget-voters": // forget-voters: the store has no voters
+		s.voters = newFakeVoterStore()
+		return "forgotten"
+	case "voters":
+		return s.votersText()
 	case "store":
 		s.setStoreDown(f[1] == "down")
 		return "store " + f[1]
@@ -121,6 +129,15 @@
 	s.waitFor(func() bool { return len(s.proxy.placement.Load().groups["g"].state.Load().endpoints) == len(list) })
 }
 
+// votersText returns the names of the stored voters.
+func (s *simulation) votersText() string {
+	var names []string
+	for _, v := range s.voters.set().Voters {
+		names = append(names, string(v.Name))
+	}
+	return strings.Join(names, " ")
+}
+
 func (s *simulation) setStoreDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -59,11 +59,14 @@
 	mu             sync.Mutex
 	fakes          []*fakeEndpoint
 	lease          VersionedValue
+	voters         *fakeVoterStore
 	storeDown      bool
 	promoted       []string
 	offerEndpoints func([]Endpoint)
 	offerConfig    func(*Config)
 	proxy          *Proxy
+	log            *logrus.Entry
+	cancel         context.CancelFunc
 	stop           chan struct{}
 	done           chan error
 	callers        map[string]*testCaller
@@ -93,15 +96,32 @@
 		s.fakes = append(s.fakes, f)
 	}
 	s.fakes[0].role = core.RolePrimary
+	s.voters = newFakeVoterStore(s.list()...)
+	s.voters.isDown = s.isStoreDown
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	if os.Getenv("ANVILTACK_TEST_LOG") != "" {
 		log.SetOutput(os.Stderr)
 	}
-	s.proxy = New(Settings{Instance: "i1", DataCentre: "dc1", GracePeriod: 6 * time.Second}, s.dependencies(clock.Now), log.WithField("instance", "i1"))
+	s.log = log.WithField("instance", "i1")
+	s.proxy = s.newProxy()
 	return s
 }
 
+// newProxy returns an instance that is not running yet.
+func (s *simulation) newProxy() *Proxy {
+	return New(Settings{Instance: "i1", DataCentre: "dc1", GracePeriod: 6 * time.Second}, s.dependencies(clock.Now), s.log)
+}
+
+// restart replaces the instance with a new process, which has no history.
+func (s *simulation) restart() {
+	s.cancel()
+	_ = receive(s.t, s.done, "end of the instance")
+	s.proxy = s.newProxy()
+	s.start()
+	s.waitFor(func() bool { return s.proxy.placement.Load().complete && s.proxy.placement.Load().groups["g"] != nil })
+}
+
 // dependencies returns all dependencies but Callers; tests start sessions by open.
 func (s *simulation) dependencies(now func() time.Time) Dependencies {
 	return Dependencies{
@@ -130,6 +150,7 @@
 			return ctx.Err()
 		}},
 		LeaseStore: LeaseStore{Get: s.getLease, CompareAndSwap: s.swapLease, IsHealthy: func() bool { return !s.isStoreDown() }, Era: s.storeEra},
+		VoterStore: s.voters.dependency(),
 		Membership: Membership{Maintain: func(ctx context.Context, offer func([]Peer)) error {
 			offer(s.peers)
 			<-ctx.Done()
@@ -616,7 +637,10 @@
 
 // start starts the instance.
 func (s *simulation) start() {
-	go func() { s.done <- s.proxy.Serve(context.Background(), s.stop) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	p := s.proxy
+	go func() { s.done <- p.Serve(ctx, s.stop) }()
 }
 
 // stepTimeout bounds one step of a test, so that a step that goes another way than expected
--- a/proxy/soak_test.go
+++ b/proxy/soak_test.go
@@ -42,6 +42,7 @@
 	storeDown    bool
 	disconnected map[string]bool
 	lastToken    uint64
+	voters       *fakeVoterStore
 	operations   map[string]*soakOperation
 	acknowledged map[string]time.Time
 	rejected     map[string]bool
@@ -63,6 +64,7 @@
 		s.endpoints = append(s.endpoints, &soakEndpoint{info: Endpoint{Name: name, Group: "g", Slots: 4, Role: core.RoleReplica}, term: 1})
 	}
 	s.endpoints[0].primary = true
+	s.voters = newFakeVoterStore(s.endpoints[0].info, s.endpoints[1].info, s.endpoints[2].info)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	var peers []Peer
@@ -108,6 +110,7 @@
 			return forever(ctx)
 		}},
 		LeaseStore: LeaseStore{Get: s.getLease, CompareAndSwap: s.swapLease, IsHealthy: func() bool { return true }, Era: s.storeEra},
+		VoterStore: s.voters.dependency(),
 		Membership: Membership{Maintain: func(ctx context.Context, offer func([]Peer)) error {
 			offer(peers)
 			return forever(ctx)
