--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -52,6 +52,11 @@
 	case "list", "unlist": // list ENDPOINT ..., unlist ENDPOINT ...
 		s.setListed(f[0] == "list", f[1:])
 		return strings.Join(f, " ")
+	case "rename": // rename ENDPOINT NAME: the next process at its address has its log
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.find(core.Endpoint(f[1])).info.Name = core.Endpoint(f[2])
+		return strings.Join(f, " ")
 	case "restart": // restart: the instance is a new process
 		s.restart()
 		return "restarted"
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"slices"
 	"strconv"
@@ -90,7 +91,10 @@
 	s := &simulation{t: t, stop: make(chan struct{}), done: make(chan error, 1), callers: map[string]*testCaller{}, peers: []Peer{{Name: "i1"}}}
 	for i, name := range []core.Endpoint{"p", "r", "s"} {
 		f := &fakeEndpoint{
-			info: Endpoint{Name: name, Group: "g", DataCentre: core.DataCentre("dc" + strconv.Itoa(i)), Slots: 3, Role: core.RoleReplica},
+			info: Endpoint{
+				Name: name, Group: "g", Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)),
+				DataCentre: core.DataCentre("dc" + strconv.Itoa(i)), Slots: 3, Role: core.RoleReplica,
+			},
 			role: core.RoleReplica, term: 1, last: core.Point{Term: 1, Position: 10}, applied: core.Point{Term: 1, Position: 10},
 		}
 		s.fakes = append(s.fakes, f)
