Forget the address of a voter where a process started with an empty log

What would have been seen: an endpoint starts again empty under its name, crashes, and comes back under a new name at its address. It was then taken for the voter whose log was there before, and counted for majorities with a log that lacks what the voter acknowledged.

Cause: a voter is found again by its address, and nothing recorded that the log at this address had begun anew.

Fix: once a process is listed under a voter's name with a later start, the voter's address is deleted in the stored set, so that no later process matches it.

--- a/core/voter/voter.go
+++ b/core/voter/voter.go
@@ -28,7 +28,9 @@
 type Voter struct {
 	Name core.Endpoint `json:"name"`
 	// Started is when the process started, by the clock of the endpoint.
-	Started int64          `json:"started"`
+	Started int64 `json:"started"`
+	// Address is where a process would continue the log; invalid once one has started there
+	// with an empty log.
 	Address netip.AddrPort `json:"address"`
 }
 
@@ -124,6 +126,8 @@
 	for i, l := range s.Logs(listed) {
 		if l != (Voter{}) {
 			voters[i] = l
+		} else if slices.ContainsFunc(listed, func(e Endpoint) bool { return e.Name == voters[i].Name && e.Started > voters[i].Started }) {
+			voters[i].Address = netip.AddrPort{}
 		}
 	}
 	if slices.Equal(voters, s.Voters) {
--- a/core/voter/voter_test.go
+++ b/core/voter/voter_test.go
@@ -74,7 +74,10 @@
 		if v.Started > 0 {
 			word += strconv.FormatInt(v.Started, 10)
 		}
-		if at := string(rune(v.Address.Port())); at != string(v.Name) {
+		switch at := string(rune(v.Address.Port())); {
+		case !v.Address.IsValid():
+			word += "@nowhere"
+		case at != string(v.Name):
 			word += "@" + at
 		}
 		words = append(words, word)
