Add a soak in which endpoints crash beyond their entries, are replaced or lose their logs

At most one voter's log is lost at a time, as more may lose acknowledged writes.

checkFinalLog opens a session for each attempt: one that was refused while its instance was isolated has ended, and the group's return could not be seen through it.

--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -61,7 +61,7 @@
 		s.restart()
 		return "restarted"
 	case "forget-voters": // forget-voters: the store has no voters
-		s.voters = newFakeVoterStore()
+		s.voters.value = VersionedValue{}
 		return "forgotten"
 	case "voters":
 		return s.votersText()
--- a/proxy/simulation_test.go
+++ b/proxy/simulation_test.go
@@ -102,14 +102,20 @@
 	s.fakes[0].role = core.RolePrimary
 	s.voters = newFakeVoterStore(s.list()...)
 	s.voters.isDown = s.isStoreDown
+	s.voters.era = func() uint64 { era, _ := s.storeEra(); return era }
+	s.log = newTestLog().WithField("instance", "i1")
+	s.proxy = s.newProxy()
+	return s
+}
+
+// newTestLog returns a log that is written if ANVILTACK_TEST_LOG is set.
+func newTestLog() *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	if os.Getenv("ANVILTACK_TEST_LOG") != "" {
 		log.SetOutput(os.Stderr)
 	}
-	s.log = log.WithField("instance", "i1")
-	s.proxy = s.newProxy()
-	return s
+	return log
 }
 
 // newProxy returns an instance that is not running yet.
--- a/proxy/soak_caller_test.go
+++ b/proxy/soak_caller_test.go
@@ -30,7 +30,10 @@
 	random := rand.New(rand.NewPCG(uint64(number), 7))
 	for round := 0; ctx.Err() == nil; round++ {
 		freshness := []Freshness{FreshnessNewest, FreshnessBounded, FreshnessSession}[random.IntN(3)]
-		sim := &simulation{proxy: s.instances[random.IntN(len(s.instances))], callers: map[string]*testCaller{}}
+		s.mu.Lock()
+		p := s.instances[random.IntN(len(s.instances))]
+		s.mu.Unlock()
+		sim := &simulation{proxy: p, callers: map[string]*testCaller{}}
 		c := &soakCaller{soak: s, random: random, name: fmt.Sprintf("c%d-%d", number, round), freshness: freshness}
 		c.session = sim.open(c.name, core.Database(freshness))
 		for range 20 {
--- a/proxy/soak_endpoint_test.go
+++ b/proxy/soak_endpoint_test.go
@@ -24,6 +24,8 @@
 	// closed.
 	incarnation int
 	crashed     bool
+	// unlisted endpoints have no entry in the directory.
+	unlisted bool
 	// An unreachable endpoint answers nothing, notReceiving stops replication to it,
 	// and notApplying stops it from applying its log.
 	unreachable, notReceiving, notApplying bool
@@ -102,6 +104,10 @@
 func (s *soak) dial(instance string, name core.Endpoint) (*Conn, error) {
 	s.mu.Lock()
 	e := s.endpoint(name)
+	if e == nil {
+		s.mu.Unlock()
+		return nil, syscall.ECONNREFUSED
+	}
 	c := &soakConn{soak: s, endpoint: e, name: instance + " " + string(name), incarnation: e.incarnation}
 	s.mu.Unlock()
 	if err := c.lockReachable(unreachableTimeout); err != nil {
--- a/proxy/soak_test.go
+++ b/proxy/soak_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -12,8 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"anviltack/clock"
 	"anviltack/core"
 )
@@ -50,6 +47,13 @@
 	promotions   int
 	violations   []string
 	instances    []*Proxy
+	// startInstance replaces an instance by a new process, and ends ends each.
+	startInstance func(i int)
+	ends          []context.CancelFunc
+	// started counts the endpoints' processes, which have names and addresses by it.
+	started int
+	// lost is the last endpoint that lost its log.
+	lost Endpoint
 }
 
 const soakStaleness = 400 * time.Millisecond
@@ -60,23 +64,32 @@
 		leases: map[string]VersionedValue{}, disconnected: map[string]bool{}, operations: map[string]*soakOperation{},
 		acknowledged: map[string]time.Time{}, rejected: map[string]bool{},
 	}
-	for _, name := range []core.Endpoint{"a", "b", "c"} {
-		s.endpoints = append(s.endpoints, &soakEndpoint{info: Endpoint{Name: name, Group: "g", Slots: 4, Role: core.RoleReplica}, term: 1})
+	for range 3 {
+		s.endpoints = append(s.endpoints, s.newEndpoint())
 	}
 	s.endpoints[0].primary = true
-	s.voters = newFakeVoterStore(s.endpoints[0].info, s.endpoints[1].info, s.endpoints[2].info)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	s.voters = newFakeVoterStore(s.list()...)
+	s.voters.era = func() uint64 { era, _ := s.storeEra(); return era }
+	log := newTestLog()
 	var peers []Peer
 	for i := range instances {
 		peers = append(peers, Peer{Name: core.Instance(fmt.Sprint("i", i))})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	for _, p := range peers {
-		instance := New(Settings{Instance: string(p.Name), GracePeriod: 6 * time.Second}, s.dependencies(string(p.Name), peers), log.WithField("instance", p.Name))
-		s.instances = append(s.instances, instance)
-		go func() { _ = instance.Serve(ctx, make(chan struct{})) }()
+	s.ends = make([]context.CancelFunc, instances)
+	s.instances = make([]*Proxy, instances)
+	s.startInstance = func(i int) {
+		name := string(peers[i].Name)
+		p := New(Settings{Instance: name, GracePeriod: 6 * time.Second}, s.dependencies(name, peers), log.WithField("instance", name))
+		own, end := context.WithCancel(ctx)
+		s.mu.Lock()
+		s.instances[i], s.ends[i] = p, end
+		s.mu.Unlock()
+		go func() { _ = p.Serve(own, make(chan struct{})) }()
+	}
+	for i := range peers {
+		s.startInstance(i)
 	}
 	go s.replicate(ctx)
 	return s
@@ -93,12 +106,7 @@
 			return s.dial(instance, e.Name)
 		}},
 		Directory: Directory{Watch: func(ctx context.Context, offer func([]Endpoint)) error {
-			var list []Endpoint
-			for _, e := range s.endpoints {
-				list = append(list, e.info)
-			}
-			offer(list)
-			return forever(ctx)
+			return repeat(ctx, 10*time.Millisecond, func() { offer(s.list()) })
 		}},
 		ConfigSource: ConfigSource{Watch: func(ctx context.Context, offer func(*Config)) error {
 			c := testConfig(1)
@@ -161,6 +169,7 @@
 func (s *soak) restoreStore() {
 	s.era++
 	s.leases = maps.Clone(s.copiedLeases)
+	s.voters.restore()
 }
 
 // recordViolation records a broken guarantee; the caller holds the lock.
@@ -170,8 +179,12 @@
 	}
 }
 
+// endpoint returns the endpoint of a name, nil if there is none.
 func (s *soak) endpoint(name core.Endpoint) *soakEndpoint {
 	i := slices.IndexFunc(s.endpoints, func(e *soakEndpoint) bool { return e.info.Name == name })
+	if i < 0 {
+		return nil
+	}
 	return s.endpoints[i]
 }
 
@@ -186,7 +199,7 @@
 	time.AfterFunc(time.Duration(100+rand.IntN(300))*time.Millisecond, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if e := s.endpoint(name); !e.crashed && !e.primary {
+		if e := s.endpoint(name); e != nil && !e.crashed && !e.primary {
 			s.makePrimary(e)
 		}
 	})
@@ -283,6 +296,7 @@
 	case 7:
 		if on {
 			s.copiedLeases = maps.Clone(s.leases)
+			s.voters.copy()
 		} else {
 			s.restoreStore()
 		}
@@ -316,8 +330,10 @@
 // checkFinalLog checks the log of the last primary after all faults have ended.
 func (s *soak) checkFinalLog(t *testing.T) {
 	sim := &simulation{t: t, proxy: s.instances[0], callers: map[string]*testCaller{}}
-	c := &soakCaller{soak: s, name: "end", freshness: FreshnessNewest, session: sim.open("end", "newest")}
+	c := &soakCaller{soak: s, name: "end", freshness: FreshnessNewest}
 	sim.waitFor(func() bool {
+		c.session = sim.open("end", "newest")
+		defer close(c.session.statements)
 		id := c.newStatement(KindWrite)
 		a := c.send(id, KindWrite)
 		c.recordWrites(a, id)
--- a/proxy/voter_store_test.go
+++ b/proxy/voter_store_test.go
@@ -14,8 +14,12 @@
 	mu     sync.Mutex
 	value  VersionedValue
 	offers []func(map[core.Group]VersionedValue)
-	// isDown reports whether the store answers nothing; nil if it always answers.
+	// isDown reports whether the store answers nothing, and era returns its era; nil if it
+	// always answers, in era zero.
 	isDown func() bool
+	era    func() uint64
+	// copied is what a restore brings back.
+	copied VersionedValue
 }
 
 // newFakeVoterStore returns a store whose voters are the given endpoints, empty without any.
@@ -49,12 +53,11 @@
 			if f.isDown != nil && f.isDown() {
 				return VersionedValue{}, errStoreDown
 			}
-			f.mu.Lock()
-			defer f.mu.Unlock()
+			stored := f.stored()
 			if g != "g" {
-				return VersionedValue{}, nil
+				return VersionedValue{Revision: core.Revision{Era: stored.Revision.Era}}, nil
 			}
-			return f.value, nil
+			return stored, nil
 		},
 		CompareAndSwap: f.swap,
 	}
@@ -64,12 +67,13 @@
 	if f.isDown != nil && f.isDown() {
 		return core.Revision{}, errStoreDown
 	}
+	era := f.currentEra()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if g != "g" || revision != f.value.Revision {
+	if g != "g" || revision.Era != era || revision.Number != f.value.Revision.Number {
 		return core.Revision{}, nil
 	}
-	f.value = VersionedValue{Revision: core.Revision{Era: revision.Era, Number: revision.Number + 1}, Value: value}
+	f.value = VersionedValue{Revision: core.Revision{Era: era, Number: revision.Number + 1}, Value: value}
 	stored := f.value
 	for _, offer := range f.offers {
 		time.AfterFunc(time.Millisecond, func() { offer(map[core.Group]VersionedValue{"g": stored}) })
@@ -77,6 +81,38 @@
 	return stored.Revision, nil
 }
 
+// currentEra returns the store's era.
+func (f *fakeVoterStore) currentEra() uint64 {
+	if f.era == nil {
+		return 0
+	}
+	return f.era()
+}
+
+// stored returns the value in the era in which it is read.
+func (f *fakeVoterStore) stored() VersionedValue {
+	era := f.currentEra()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.value
+	v.Revision.Era = era
+	return v
+}
+
+// copy keeps the value for the next restore.
+func (f *fakeVoterStore) copy() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.copied = f.value
+}
+
+// restore brings back the copy, in the store's next era.
+func (f *fakeVoterStore) restore() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.value = f.copied
+}
+
 // set returns the stored set.
 func (f *fakeVoterStore) set() voter.Set {
 	f.mu.Lock()
