--- a/proxy/group.go
+++ b/proxy/group.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -122,7 +121,9 @@
 	machine   *failover.Machine
 	tracker   *mark.Tracker
 	endpoints map[core.Endpoint]*endpoint
-	// trackedNames are the names of the endpoints that tracker has, sorted.
+	// listedNames are the names of endpoints, and trackedNames of those that tracker has;
+	// both are sorted.
+	listedNames  []core.Endpoint
 	trackedNames []core.Endpoint
 	voters       *voters
 	// nextTickAt is when machine must be ticked at the latest.
@@ -267,7 +268,7 @@
 		available: g.machine.Availability(), history: g.tracker.History(),
 		votersVersion: g.voters.set.Version, unlistedVoters: g.voters.unlisted,
 	}
-	for _, name := range slices.Sorted(maps.Keys(g.endpoints)) {
+	for _, name := range g.listedNames {
 		s.endpoints = append(s.endpoints, g.endpoints[name])
 	}
 	old := g.group.state.Load()
--- a/proxy/group_members.go
+++ b/proxy/group_members.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -82,18 +83,15 @@
 // updateTracker replaces the tracker if the listed voters changed. The samples of the old one
 // stay valid.
 func (g *groupControl) updateTracker() {
-	names := make([]core.Endpoint, 0, len(g.endpoints))
-	for name := range g.voters.listed {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	defer func() { g.tracker.SetUnlisted(g.voters.unlisted) }()
+	g.listedNames = slices.Sorted(maps.Keys(g.endpoints))
+	names := slices.Sorted(maps.Keys(g.voters.listed))
 	if !slices.Equal(names, g.trackedNames) {
 		samples := g.tracker.History()
 		g.trackedNames = names
 		g.tracker = mark.NewTracker(names...)
 		*g.tracker.History() = *samples
 	}
+	g.tracker.SetUnlisted(g.voters.unlisted)
 }
 
 // computeRank returns this instance's rank among the home instances; others rank after
