Follow the names of voters' logs from what is listed, without waiting for the store

Reads lacked writes from the start of the run.

Trace: endpoint e7 came back with the log of e5 at its address (27:06 of the log), was gone again at once, and started empty as e7 (27:07). The new name had not been stored, as the last call was less than a second before, so the stored voter was still e5; the empty e7, another name at its address, was taken to continue the log (set 4, 27:08). A second log was lost the same way at 27:08, and an empty log was promoted at 27:09.

Cause: that a log goes on under another name was known only by the stored set.

Ruled out: two logs lost by the soak itself. It refuses to lose a second one while the first is a voter's; the stored set said that it was not.

Fix: each instance follows the names from what is listed, at once and in memory, and carries them over when it reads another set; the home instance stores them without the second between calls, which now follows only a call that changed nothing. A leaving voter is not removed either if the others that are listed are no majority: at 27:03 that had left one of two.

--- a/core/voter/voter.go
+++ b/core/voter/voter.go
@@ -119,9 +119,10 @@
 	return found
 }
 
-// Renamed returns the set with the processes that have the voters' logs now, and reports
-// whether that differs. The logs are the same, so no majority has to agree.
-func (s Set) Renamed(listed []Endpoint) (Set, bool) {
+// Followed returns the set with the processes that have the voters' logs now, in the order of
+// s. The logs are the same, so this is no change: it needs no majority and has the version of
+// s.
+func (s Set) Followed(listed []Endpoint) Set {
 	voters := slices.Clone(s.Voters)
 	for i, l := range s.Logs(listed) {
 		if l != (Voter{}) {
@@ -130,11 +131,21 @@
 			voters[i].Address = netip.AddrPort{}
 		}
 	}
-	if slices.Equal(voters, s.Voters) {
-		return s, false
+	s.Voters = voters
+	return s
+}
+
+// FollowedFrom returns s with what was observed of its logs since an earlier set was stored,
+// of which followed is the result.
+func (s Set) FollowedFrom(stored, followed Set) Set {
+	voters := slices.Clone(s.Voters)
+	for i, v := range voters {
+		if j := slices.Index(stored.Voters, v); j >= 0 {
+			voters[i] = followed.Voters[j]
+		}
 	}
 	s.Voters = voters
-	return s.next(), true
+	return s
 }
 
 // Change returns the next set, if a change is due. The caller must know that a majority of
@@ -142,8 +153,8 @@
 //
 // A missing voter is removed as soon as that lowers the majority: an endpoint that returns
 // with its log then usually finds itself a voter. Endpoints that have caught up are added. A
-// leaving voter is removed before it stops, unless it is the primary or an endpoint that may
-// replace it is still catching up.
+// leaving voter is removed before it stops, unless it is the primary, an endpoint that may
+// replace it is still catching up, or the others that are listed are no majority.
 func (s Set) Change(listed []Endpoint) (Set, bool) {
 	logs := s.Logs(listed)
 	var missing, leaving []int
@@ -170,7 +181,8 @@
 	if len(leaving) == 0 || joining || !s.shrinks(len(missing)+len(leaving)) {
 		return s, false
 	}
-	return s.without(leaving[0]), true
+	next := s.without(leaving[0])
+	return next, len(next.Voters)-len(missing) >= next.Majority()
 }
 
 // Recover returns a set without its missing voters, which were lost for good and without
@@ -190,8 +202,11 @@
 	return s.next(), true
 }
 
-// Rewritten returns the same set as a change of its own, to replace an older copy.
-func (s Set) Rewritten() Set { return s.next() }
+// Rewritten returns the same set as the next version.
+func (s Set) Rewritten() Set {
+	s.Voters = slices.Clone(s.Voters)
+	return s.next()
+}
 
 // Majority returns the number of voters that make a majority.
 func (s Set) Majority() int { return majority(len(s.Voters)) }
--- a/core/voter/voter_test.go
+++ b/core/voter/voter_test.go
@@ -31,9 +31,14 @@
 			case "new":
 				s = New(listed)
 			case "change": // applies the next change while these endpoints are listed
-				s, due = s.Change(listed)
-			case "rename":
-				s, due = s.Renamed(listed)
+				var next Set
+				if next, due = s.Change(listed); due {
+					s = next
+				}
+			case "follow":
+				followed := s.Followed(listed)
+				due = !slices.Equal(followed.Voters, s.Voters)
+				s = followed
 			case "recover": // recover floor=TERM
 				var floor int
 				d.ScanArgs(t, "floor", &floor)
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -57,6 +57,14 @@
 		defer s.mu.Unlock()
 		s.find(core.Endpoint(f[1])).info.Name = core.Endpoint(f[2])
 		return strings.Join(f, " ")
+	case "empty": // empty ENDPOINT: it starts again under its name, without its log
+		s.mu.Lock()
+		e := s.find(core.Endpoint(f[1]))
+		e.info.StartedAt++
+		e.role, e.last, e.applied, e.notReceiving = core.RoleReplica, core.Point{}, core.Point{}, true
+		s.mu.Unlock()
+		s.setListed(true, f[1:])
+		return strings.Join(f, " ")
 	case "restart": // restart: the instance is a new process
 		s.restart()
 		return "restarted"
--- a/proxy/voters.go
+++ b/proxy/voters.go
@@ -35,7 +35,10 @@
 
 // voters is what this instance knows of the voters of a group.
 type voters struct {
-	set voter.Set
+	// stored is the set as it was last read, and set the same with the processes that have the
+	// logs of its voters by what was listed since, in the same order.
+	stored voter.Set
+	set    voter.Set
 	// since is when the logs that vote last changed.
 	since time.Time
 	// revision is the newest one read of the stored set, valid if read is set. It never
@@ -57,7 +60,8 @@
 	dueSince time.Time
 	// checkedAt is when changeVoters last ran.
 	checkedAt time.Time
-	// calling is true while a call to the store runs, and calledAt is when the last began.
+	// calling is true while a call to the store runs, and calledAt is when the last one that
+	// changed nothing began.
 	calling  bool
 	calledAt time.Time
 }
@@ -111,12 +115,11 @@
 func (c *control) adoptVoters(now time.Time, name core.Group, s voter.Set) {
 	v, g := c.votersOf(name), c.groups[name]
 	old := v.set
-	renamed := old
+	v.stored, v.set = s, s.FollowedFrom(v.stored, old)
 	if g != nil {
-		renamed, _ = old.Renamed(g.voterCandidates())
+		v.set = v.set.Followed(g.voterCandidates())
 	}
-	v.set = s
-	if !slices.Equal(renamed.Voters, s.Voters) {
+	if !slices.Equal(old.Rewritten().Voters, v.set.Rewritten().Voters) {
 		v.since = now
 	}
 	if g == nil {
@@ -143,7 +146,9 @@
 	if !v.set.IsKnown() && len(g.endpoints) > 0 {
 		v.unlisted = 1
 	}
-	for _, l := range v.set.Logs(g.voterCandidates()) {
+	listed := g.voterCandidates()
+	v.set = v.set.Followed(listed)
+	for _, l := range v.set.Logs(listed) {
 		if l == (voter.Voter{}) {
 			v.unlisted++
 		} else {
@@ -207,8 +212,8 @@
 	if v.outdated {
 		return v.set.Rewritten(), true
 	}
-	if next, due := v.set.Renamed(listed); due {
-		return next, true
+	if !slices.Equal(v.set.Voters, v.stored.Voters) {
+		return v.set.Rewritten(), true
 	}
 	if now.Sub(v.since) < voterChangeInterval {
 		return v.set, false
@@ -293,9 +298,15 @@
 // finishVoterCall passes the outcome of a call about the stored set to the control goroutine.
 func (g *groupControl) finishVoterCall(value VersionedValue, err error) {
 	g.control.post(context.Background(), func(now time.Time) {
-		g.voters.calling = false
-		if err == nil {
-			g.control.observeVoters(now, g.group.name, value)
+		v := g.voters
+		v.calling = false
+		if err != nil {
+			return
+		}
+		before := v.revision
+		g.control.observeVoters(now, g.group.name, value)
+		if v.revision != before {
+			v.calledAt = time.Time{}
 		}
 	})
 }
