--- a/core/voter/voter.go
+++ b/core/voter/voter.go
@@ -119,10 +119,10 @@
 	return found
 }
 
-// Followed returns the set with the processes that have the voters' logs now, in the order of
+// Renamed returns the set with the processes that have the voters' logs now, in the order of
 // s. The logs are the same, so this is no change: it needs no majority and has the version of
 // s.
-func (s Set) Followed(listed []Endpoint) Set {
+func (s Set) Renamed(listed []Endpoint) Set {
 	voters := slices.Clone(s.Voters)
 	for i, l := range s.Logs(listed) {
 		if l != (Voter{}) {
@@ -135,13 +135,13 @@
 	return s
 }
 
-// FollowedFrom returns s with what was observed of its logs since an earlier set was stored,
-// of which followed is the result.
-func (s Set) FollowedFrom(stored, followed Set) Set {
+// RenamedLike returns s with the names that the voters of an earlier set, stored, have in
+// renamed, which has them in the same order.
+func (s Set) RenamedLike(stored, renamed Set) Set {
 	voters := slices.Clone(s.Voters)
 	for i, v := range voters {
 		if j := slices.Index(stored.Voters, v); j >= 0 {
-			voters[i] = followed.Voters[j]
+			voters[i] = renamed.Voters[j]
 		}
 	}
 	s.Voters = voters
--- a/core/voter/voter_test.go
+++ b/core/voter/voter_test.go
@@ -15,7 +15,7 @@
 	"anviltack/core"
 )
 
-// TestSets runs the scripts in testdata. An endpoint is written as its name, followed by the
+// TestSets runs the scripts in testdata. An endpoint is written as its name, renamed by the
 // number of its process if it is not the first one, by @ and the endpoint at whose address it
 // is if that is not its own, and by :leaving, :behind or :primary.
 func TestSets(t *testing.T) {
@@ -35,10 +35,10 @@
 				if next, due = s.Change(listed); due {
 					s = next
 				}
-			case "follow":
-				followed := s.Followed(listed)
-				due = !slices.Equal(followed.Voters, s.Voters)
-				s = followed
+			case "rename":
+				renamed := s.Renamed(listed)
+				due = !slices.Equal(renamed.Voters, s.Voters)
+				s = renamed
 			case "recover": // recover floor=TERM
 				var floor int
 				d.ScanArgs(t, "floor", &floor)
--- a/proxy/voters.go
+++ b/proxy/voters.go
@@ -115,9 +115,9 @@
 func (c *control) adoptVoters(now time.Time, name core.Group, s voter.Set) {
 	v, g := c.votersOf(name), c.groups[name]
 	old := v.set
-	v.stored, v.set = s, s.FollowedFrom(v.stored, old)
+	v.stored, v.set = s, s.RenamedLike(v.stored, old)
 	if g != nil {
-		v.set = v.set.Followed(g.voterCandidates())
+		v.set = v.set.Renamed(g.voterCandidates())
 	}
 	if !slices.Equal(old.Rewritten().Voters, v.set.Rewritten().Voters) {
 		v.since = now
@@ -147,7 +147,7 @@
 		v.unlisted = 1
 	}
 	listed := g.voterCandidates()
-	v.set = v.set.Followed(listed)
+	v.set = v.set.Renamed(listed)
 	for _, l := range v.set.Logs(listed) {
 		if l == (voter.Voter{}) {
 			v.unlisted++
