--- a/core/voter/voter_test.go
+++ b/core/voter/voter_test.go
@@ -15,7 +15,7 @@
 	"anviltack/core"
 )
 
-// TestSets runs the scripts in testdata. An endpoint is written as its name, renamed by the
+// TestSets runs the scripts in testdata. An endpoint is written as its name, followed by the
 // number of its process if it is not the first one, by @ and the endpoint at whose address it
 // is if that is not its own, and by :leaving, :behind or :primary.
 func TestSets(t *testing.T) {
--- a/proxy/lease_check.go
+++ b/proxy/lease_check.go
@@ -16,10 +16,10 @@
 	demandedLeaseCheckInterval = 50 * time.Millisecond
 )
 
-// confirmWithoutQuorum starts a lease check while the voters are known and the primary's replicas
-// do not answer. A promotion requires the promotion lease, so an idle lease proves that the primary has
-// not been replaced. Reads continue at the primary; writes do not, since no majority
-// would hold them.
+// confirmWithoutQuorum starts a lease check while the voters are known and the primary's
+// replicas do not answer. A promotion requires the promotion lease, so an idle lease proves
+// that the primary has not been replaced. Reads continue at the primary; writes do not, since
+// no majority would hold them.
 func (g *groupControl) confirmWithoutQuorum(now time.Time) {
 	if g.checkingLease || !g.voters.set.IsKnown() || !g.machine.IsPrimaryWithoutQuorum() || !g.control.proxy.dependencies.LeaseStore.IsHealthy() {
 		return
--- a/proxy/soak_voters_test.go
+++ b/proxy/soak_voters_test.go
@@ -163,7 +163,7 @@
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(o *soakEndpoint) bool { return o == e })
 }
 
-// TestSoakOfVoters injects two series of overlapping faults: those of TestSoak, and endpoints
+// TestSoakOfVoters injects three series of overlapping faults: those of TestSoak, and endpoints
 // that crash, lose their entries and come back with or without their logs, are replaced, and
 // instances that are killed and started again. It checks what TestSoak checks.
 func TestSoakOfVoters(t *testing.T) {
--- a/proxy/voters.go
+++ b/proxy/voters.go
@@ -209,10 +209,7 @@
 		first := voter.New(listed)
 		return first, len(first.Voters) > 0 && now.Sub(v.listedSince) >= firstVotersDelay
 	}
-	if v.outdated {
-		return v.set.Rewritten(), true
-	}
-	if !slices.Equal(v.set.Voters, v.stored.Voters) {
+	if v.outdated || !slices.Equal(v.set.Voters, v.stored.Voters) {
 		return v.set.Rewritten(), true
 	}
 	if now.Sub(v.since) < voterChangeInterval {
