--- a/core/group/availability.go
+++ b/core/group/availability.go
@@ -106,11 +106,8 @@
 // isReplicating reports whether enough endpoints answer in the primary's term for a new
 // write to be confirmed.
 func (m *Machine) isReplicating() bool {
-	n := 0
-	for _, e := range m.members {
-		if m.isCounted(e) && e.failures == 0 && (e.Name == m.primary || m.isReachable(e, m.now)) {
-			n++
-		}
-	}
+	n := m.countVoters(func(e *member) bool {
+		return m.isCounted(e) && e.failures == 0 && (e.Name == m.primary || m.isReachable(e, m.now))
+	})
 	return n >= m.majority() && m.stalled(m.now) < m.periods.Stall/2
 }
--- a/core/group/failure_detection.go
+++ b/core/group/failure_detection.go
@@ -142,11 +142,6 @@
 // reachesMajority reports whether the instance reaches a majority of the group without
 // counting the suspect. An endpoint that leaves samples unanswered could not be fenced.
 func (m *Machine) reachesMajority(now time.Time, suspect core.Endpoint) bool {
-	n := 0
-	for _, e := range m.members {
-		if !e.Learner && e.Name != suspect && e.failures == 0 && m.isReachable(e, now) {
-			n++
-		}
-	}
+	n := m.countVoters(func(e *member) bool { return e.Name != suspect && e.failures == 0 && m.isReachable(e, now) })
 	return n >= m.majority()
 }
--- a/core/group/machine.go
+++ b/core/group/machine.go
@@ -161,37 +161,21 @@
 // HasQuorum reports whether a majority of the voters answers. It is true while none are
 // known.
 func (m *Machine) HasQuorum() bool {
-	n := 0
-	for _, e := range m.members {
-		if !e.Learner && e.failures == 0 {
-			n++
-		}
-	}
+	n := m.countVoters(func(e *member) bool { return e.failures == 0 })
 	return n >= m.majority() || len(m.members) == 0 && m.voters.Unlisted == 0
 }
 
 // HasAnsweredQuorum reports whether a majority of the voters answers and has done so
 // before: voters that were not sampled yet do not count.
 func (m *Machine) HasAnsweredQuorum() bool {
-	n := 0
-	for _, e := range m.members {
-		if !e.Learner && e.failures == 0 && !e.answeredAt.IsZero() {
-			n++
-		}
-	}
+	n := m.countVoters(func(e *member) bool { return e.failures == 0 && !e.answeredAt.IsZero() })
 	return n > 0 && n >= m.majority()
 }
 
 // HasLocalQuorum reports whether the voters in the instance's own data centre are a majority
 // that answers.
 func (m *Machine) HasLocalQuorum() bool {
-	n := 0
-	for _, e := range m.members {
-		if !e.Learner && e.SameDataCentre && e.failures == 0 {
-			n++
-		}
-	}
-	return n >= m.majority()
+	return m.countVoters(func(e *member) bool { return e.SameDataCentre && e.failures == 0 }) >= m.majority()
 }
 
 // SampleAll makes a sample of every member due, because another source reported a
--- a/core/group/sparse_sampling.go
+++ b/core/group/sparse_sampling.go
@@ -83,13 +83,10 @@
 // position, not counting those that fail and those that reported a lower position since
 // the demand.
 func (m *Machine) isMajorityBehind() bool {
-	left := 0
-	for _, e := range m.members {
+	left := m.countVoters(func(e *member) bool {
 		isBehind := e.sentAt.After(m.positionBehindSince) && e.positionIn(m.term) < m.demand.Point.Position
-		if !e.Learner && e.failures == 0 && !isBehind {
-			left++
-		}
-	}
+		return e.failures == 0 && !isBehind
+	})
 	return left < m.majority()
 }
 
--- a/core/group/voters.go
+++ b/core/group/voters.go
@@ -31,10 +31,13 @@
 func (m *Machine) majority() int { return (m.listedVoters()+m.voters.Unlisted)/2 + 1 }
 
 // listedVoters returns the number of members that are voters.
-func (m *Machine) listedVoters() int {
+func (m *Machine) listedVoters() int { return m.countVoters(func(*member) bool { return true }) }
+
+// countVoters returns the number of members that are voters and meet a condition.
+func (m *Machine) countVoters(ok func(e *member) bool) int {
 	n := 0
 	for _, e := range m.members {
-		if !e.Learner {
+		if !e.Learner && ok(e) {
 			n++
 		}
 	}
@@ -65,13 +68,7 @@
 	if !m.hasBarrier() || m.confirmed.Closed {
 		return false
 	}
-	n := 0
-	for _, e := range m.members {
-		if m.isCounted(e) && m.holdsBarrier(e) {
-			n++
-		}
-	}
-	return n >= m.majority()
+	return m.countVoters(func(e *member) bool { return m.isCounted(e) && m.holdsBarrier(e) }) >= m.majority()
 }
 
 // HasCaughtUp reports whether an endpoint holds everything that was acknowledged before the
