--- a/review/standin2/db.go
+++ b/review/standin2/db.go
@@ -56,6 +56,10 @@
 	up       bool
 	sequence uint64
 	draining bool
+	// deaf is true while the backend receives nothing.
+	deaf bool
+	// born is the start of the process, a Unix time in milliseconds.
+	born int64
 }
 
 const slotCount = 5
@@ -63,7 +67,7 @@
 func newService(store *kvStore, name string, zones []string, base int, observe func(id, text, who string)) *service {
 	s := &service{name: name, store: store, lag: 8 * time.Millisecond, work: 3 * time.Millisecond, ran: map[string]int{}, observe: observe}
 	for i, z := range zones {
-		b := &backend{s: s, id: fmt.Sprintf("i-%s%d", name, i), zone: z, primary: i == 0, term: 1, slots: make(chan struct{}, slotCount), conns: map[net.Conn]bool{}, up: true}
+		b := &backend{s: s, id: fmt.Sprintf("i-%s%d", name, i), zone: z, primary: i == 0, term: 1, slots: make(chan struct{}, slotCount), conns: map[net.Conn]bool{}, up: true, born: time.Now().UnixMilli()}
 		b.listen(fmt.Sprintf("127.0.%d.%d:0", base, i+1))
 		s.backends = append(s.backends, b)
 		go b.beat()
@@ -97,7 +101,7 @@
 	if b.draining {
 		state = "draining"
 	}
-	v := map[string]any{"service": b.s.name, "address": b.address, "zone": b.zone, "version": "v1", "capacity": slotCount, "state": state, "coldRemainingMs": 0, "dbRole": role, "sequence": b.sequence, "born": bornAt}
+	v := map[string]any{"service": b.s.name, "address": b.address, "zone": b.zone, "version": "v1", "capacity": slotCount, "state": state, "coldRemainingMs": 0, "dbRole": role, "sequence": b.sequence, "born": b.born}
 	up := b.up
 	b.s.mu.Unlock()
 	if up {
@@ -105,8 +109,6 @@
 	}
 }
 
-var bornAt = time.Now().UnixMilli()
-
 func (b *backend) beat() {
 	for {
 		b.write()
@@ -115,6 +117,9 @@
 }
 
 func (b *backend) position() string {
+	if len(b.entries) == 0 && b.term == 0 {
+		return "-"
+	}
 	if len(b.entries) == 0 {
 		return fmt.Sprintf("%d.0", b.term)
 	}
@@ -127,7 +132,7 @@
 		return b.position()
 	}
 	if b.applied == 0 {
-		return fmt.Sprintf("%d.0", b.term)
+		return b.position()
 	}
 	e := b.entries[b.applied-1]
 	return fmt.Sprintf("%d.%d", e.term, e.number)
@@ -141,6 +146,9 @@
 }
 
 func (b *backend) covers(p string) bool {
+	if b.visible() == "-" {
+		return false
+	}
 	t, n := parsePosition(p)
 	vt, vn := parsePosition(b.visible())
 	return vt > t && vn >= n || vt == t && vn >= n
@@ -156,7 +164,7 @@
 	b.entries = append(b.entries, e)
 	b.applied = len(b.entries)
 	for _, o := range b.s.backends {
-		if o == b || !o.up || o.paused || o.primary || o.term != b.term || len(o.entries) != len(b.entries)-1 {
+		if o == b || !o.up || o.paused || o.deaf || o.primary || o.term != b.term || len(o.entries) != len(b.entries)-1 {
 			continue
 		}
 		o.entries = append(o.entries, e)
@@ -248,6 +256,56 @@
 	go b.write()
 }
 
+// forget starts the process of a backend that crashed again, under its id and at its address, with
+// nothing of before. It has the log of the primary again after catchUp.
+func (b *backend) forget(catchUp time.Duration) {
+	b.s.mu.Lock()
+	b.term, b.entries, b.applied, b.paused, b.held = 0, nil, 0, false, 0
+	b.born, b.sequence, b.up = time.Now().UnixMilli(), 0, true
+	b.listen(b.address)
+	b.s.mu.Unlock()
+	b.write()
+	time.AfterFunc(catchUp, b.catchUp)
+}
+
+// hear ends the time in which the backend receives nothing.
+func (b *backend) hear() {
+	b.s.mu.Lock()
+	b.deaf = false
+	b.s.mu.Unlock()
+	b.catchUp()
+}
+
+// catchUp copies the log of the primary.
+func (b *backend) catchUp() {
+	p := b.s.primaryBackend()
+	b.s.mu.Lock()
+	defer b.s.mu.Unlock()
+	if p == nil || p == b || b.deaf || b.paused || !b.up {
+		return
+	}
+	b.term, b.entries = p.term, append([]entry(nil), p.entries...)
+	b.applied = len(b.entries)
+}
+
+// valueLocked returns the data of an item in what reads at the backend see, and the number of
+// entries that they see.
+func (b *backend) valueLocked(item string) (string, int) {
+	n := b.applied
+	if b.primary {
+		n = len(b.entries)
+	}
+	n = min(n, len(b.entries))
+	for i := n - 1; i >= 0; i-- {
+		for _, w := range b.entries[i].writes {
+			if w.item == item {
+				return w.data, n
+			}
+		}
+	}
+	return "none", n
+}
+
 // primaryBackend returns the backend that leads.
 func (s *service) primaryBackend() *backend {
 	s.mu.Lock()
@@ -455,7 +513,8 @@
 	if b.s.rows != nil {
 		rows = b.s.rows(item)
 	} else {
-		rows = []string{"v-" + item}
+		v, _ := b.valueLocked(item)
+		rows = []string{v}
 	}
 	return rows, "sig." + b.id + "." + id, ""
 }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -312,7 +312,7 @@
 var cases map[string]func(trouble bool) int
 
 func main() {
-	cases = map[string]func(trouble bool) int{"tenant": runTenant, "slow": runSlow, "token": runToken}
+	cases = map[string]func(trouble bool) int{"tenant": runTenant, "slow": runSlow, "token": runToken, "restart": runRestart}
 	if len(os.Args) < 2 {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE")
 		os.Exit(2)
