--- a/review/standin2/token.go
+++ b/review/standin2/token.go
@@ -1,14 +1,13 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
-
-	"encoding/json"
 )
 
 // runToken crashes a primary while the platform's service of promotions is cut off for a while.
